--- /dev/null
+++ b/simhost/src/settings.rs
@@ -0,0 +1,113 @@
+//! The settings object of a launch, read into the library's settings. Unknown keys are skipped.
+
+use frostgauge::{Allow, Class, Effect, Group, Plan, Reports, Rules, Settings};
+use serde_json::Value;
+
+struct Reader<'a>(&'a Value, String);
+
+impl<'a> Reader<'a> {
+    fn get(&self, key: &str) -> Result<&'a Value, String> {
+        self.0.get(key).ok_or_else(|| format!("settings: {}{key} is missing", self.1))
+    }
+    fn at(&self, key: &str) -> Result<Reader<'a>, String> {
+        Ok(Reader(self.get(key)?, format!("{}{key}.", self.1)))
+    }
+    fn list(&self, key: &str) -> Result<Vec<Reader<'a>>, String> {
+        let rows =
+            self.get(key)?.as_array().ok_or_else(|| format!("settings: {}{key} is no list", self.1))?;
+        Ok(rows.iter().enumerate().map(|(k, v)| Reader(v, format!("{}{key}[{k}].", self.1))).collect())
+    }
+    fn number(&self, key: &str) -> Result<f64, String> {
+        self.get(key)?.as_f64().ok_or_else(|| format!("settings: {}{key} is no number", self.1))
+    }
+    fn micros(&self, key: &str) -> Result<u64, String> {
+        let value = self.number(key)?;
+        if value < 0.0 {
+            return Err(format!("settings: {}{key} is negative", self.1));
+        }
+        Ok(value as u64)
+    }
+    fn flag(&self, key: &str) -> bool {
+        self.0.get(key).and_then(Value::as_bool).unwrap_or(false)
+    }
+    fn word(&self, key: &str) -> &'a str {
+        self.0.get(key).and_then(Value::as_str).unwrap_or("")
+    }
+}
+
+/// The settings and the names of the columns of load reports.
+pub(crate) fn read(info: &Value) -> Result<(Settings, Vec<String>), String> {
+    let root = Reader(info, String::new());
+    let (limits, rules, family, stats) =
+        (root.at("limits")?, root.at("rules")?, root.at("familyInfo")?, root.at("stats")?);
+    let class = |c: Reader| {
+        let group = match c.word("group") {
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            _ => Group::All,
+        };
+        Ok(Class {
+            aim: c.micros("aimUs")?,
+            deadline: c.micros("deadlineUs")?,
+            late_worth: c.number("lateWorth")?,
+            worth: c.number("value")?,
+            effect: match c.word("semantics") {
+                "retryable" => Effect::Safe,
+                "dedup" => Effect::Keyed { group, window: c.micros("windowUs")? },
+                "fragile" => Effect::Fragile,
+                _ => return Err(format!("settings: {}semantics is not known", c.1)),
+            },
+            stream: c.flag("stream"),
+        })
+    };
+    let plan = |p: Reader| {
+        Ok::<_, String>(Plan {
+            rate: p.number("rate")?,
+            burst: p.number("depth")?,
+            open: p.number("concurrency")? as u32,
+            price: p.number("valueFactor")?,
+            over_worth: p.number("excessWorth")?,
+            over_cost: p.number("excessCost")?,
+            ceiling_rate: p.number("ceilingRate")?,
+            ceiling_burst: p.number("neverOverDepth")?,
+            ceiling_slack: p.number("tolerance")?,
+        })
+    };
+    let columns = stats.0.get("columns").and_then(Value::as_array);
+    let columns = columns.into_iter().flatten().map(|c| c.as_str().unwrap_or("").to_owned()).collect();
+    let settings = Settings {
+        me: root.micros("me")? as usize,
+        gateways: root.micros("siblings")? as usize,
+        zone: root.micros("az")? as u32,
+        tick: root.micros("tickUs")?,
+        classes: root.list("classes")?.into_iter().map(class).collect::<Result<_, _>>()?,
+        plans: root.list("plans")?.into_iter().map(plan).collect::<Result<_, _>>()?,
+        allow: Allow {
+            probes: limits.flag("mayProbe"),
+            peers: limits.flag("peers"),
+            cancel: limits.flag("cancel"),
+            second_copies: limits.flag("secondCopies"),
+            retry_after: limits.flag("retryAfter"),
+            max_retry_after: limits.micros("maxRetryAfterUs")?,
+            max_attempts: limits.number("attemptsCap")? as u32,
+            peer_in_per_s: family.number("mailPerS").unwrap_or(0.0),
+            counter: family.flag("sharedCounter"),
+            meter: family.micros("meterUs").unwrap_or(0),
+            settles: family.flag("truedUp"),
+            reports: match stats.word("how") {
+                "answers" => Reports::Answers,
+                "probe" => Reports::Probe,
+                _ => Reports::None,
+            },
+            must_ask: root.word("discovery") == "ask",
+        },
+        rules: Rules {
+            answer_slack: rules.micros("graceToAnswerUs")?,
+            cold_from: rules.number("coldFrom")?,
+            cold: rules.micros("warmAfterUs")?,
+            fall_multiple: rules.number("fallMultiple")?,
+            fall: rules.micros("tipAfterUs")?,
+        },
+    };
+    Ok((settings, columns))
+}
