--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,9 @@
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
                               // Requests.
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
+const ANSWER_OF_AIM: f64 = 0.4; // mean time to answer aimed at when short: longer queues end past the aim
+const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
+const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
 const RETRY_MOST: f64 = 10.0; // most further attempts saved up
@@ -255,6 +258,8 @@
     timers: BTreeMap<u64, Due>,
     next_timer: u64,
     sends: Rate,
+    flow: Rate,
+    out_now: u32,
     retries: f64,
     peers: Vec<Micros>,
     outbox: Vec<BTreeSet<CustomerId>>,
@@ -279,6 +284,8 @@
             timers: BTreeMap::new(),
             next_timer: 0,
             sends: Rate::default(),
+            flow: Rate::default(),
+            out_now: 0,
             retries: RETRY_MOST / 2.0,
             peers: vec![0; n],
             outbox: vec![BTreeSet::new(); n],
@@ -446,6 +453,17 @@
         best.map(|(server, _, wait)| (server, wait))
     }
 
+    /// Whether the back end takes no more from here: our attempts out exceed what the flow of answers
+    /// would hold if each took the time aimed at (Little's law).
+    ///
+    /// Guards against queues grown past the aim, from overload, a shrunk fleet or slow servers alike.
+    /// It could harm after a long lull, when the flow is small; the floor serves then.
+    fn pressed(&self, now: Micros) -> bool {
+        let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
+        let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
+        f64::from(self.out_now) >= floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
+    }
+
     /// The only place that sends. False if no attempt may go now.
     fn attempt(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
@@ -464,6 +482,9 @@
         if r.attempts.len() >= s.allow.max_attempts as usize || !first && self.retries < 1.0 {
             return false;
         }
+        if self.pressed(now) {
+            return false;
+        }
         let left = (r.arrived + class.aim).saturating_sub(now) as f64;
         let Some((server, wait)) = self.pick(now, id, !first) else { return false };
         if wait > PRESS_OF_AIM * if first { class.aim as f64 } else { left } {
@@ -497,6 +518,7 @@
         }
         let timeout = r.deadline - now;
         self.sends.add(now, 1.0);
+        self.out_now += 1;
         if let (Some(x), Some(r)) = (self.servers.get_mut(&server), self.requests.get_mut(&id)) {
             let held = x.holds(now);
             x.open += 1;
@@ -565,6 +587,11 @@
         a.may_have_run = !proven;
         let (server, held, late) = (a.server, a.held, took >= self.settings.classes[r.class].aim);
         let done = r.done;
+        let aim = seconds(self.settings.classes[r.class].aim);
+        self.out_now = self.out_now.saturating_sub(1);
+        if status == Status::Ok {
+            self.flow.add(now, ANSWER_OF_AIM * aim);
+        }
         if let Some(x) = self.servers.get_mut(&server) {
             x.open = x.open.saturating_sub(1);
             match status {
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! A small driver for scripted event sequences.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use frostgauge::*;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+pub fn class(effect: Effect) -> Class {
+    Class { aim: 600 * MS, deadline: 2 * S, late_worth: 0.0, worth: 1.0, effect, stream: false }
+}
+
+/// Two units a second, four at once, no ceiling.
+pub fn plan() -> Plan {
+    Plan {
+        rate: 2.0,
+        burst: 4.0,
+        open: 0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    }
+}
+
+/// Two gateways, one safe class, one plan, nothing but the list of servers.
+pub fn settings() -> Settings {
+    Settings {
+        me: 0,
+        gateways: 2,
+        zone: 0,
+        tick: 2 * MS,
+        classes: vec![class(Effect::Safe)],
+        plans: vec![plan()],
+        allow: Allow {
+            probes: false,
+            peers: false,
+            cancel: true,
+            second_copies: false,
+            retry_after: true,
+            max_retry_after: S,
+            max_attempts: 4,
+            peer_in_per_s: 40.0,
+            counter: false,
+            meter: 0,
+            settles: false,
+            reports: Reports::None,
+            must_ask: false,
+        },
+        rules: Rules {
+            answer_slack: 8 * MS,
+            cold_from: 0.2,
+            cold: 10 * S,
+            fall_multiple: 3.0,
+            fall: 1_500 * MS,
+        },
+    }
+}
+
+pub fn entry(server: u64, zone: u32) -> Entry {
+    Entry { server: ServerId(server), state: State::Ready, ready_at: 0, size: 1.0, zone, cell: zone }
+}
+
+/// A gateway with its clock, its pending timers and what it did last.
+pub struct Rig {
+    pub gateway: Gateway,
+    pub now: Micros,
+    pub timers: Vec<(Micros, TimerId)>,
+    next: u64,
+}
+
+impl Rig {
+    /// Starts at one second with the given servers listed.
+    pub fn new(settings: Settings, servers: &[Entry]) -> Rig {
+        let gateway = Gateway::new(settings, 11, S).expect("sound settings");
+        let mut rig = Rig { gateway, now: S, timers: Vec::new(), next: 0 };
+        rig.event(Event::Servers { kind: ListKind::Full, entries: servers.to_vec() });
+        rig
+    }
+
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gateway.handle(self.now, event, &mut out);
+        for action in &out {
+            if let Action::Timer { at, timer } = action {
+                self.timers.push((*at, *timer));
+            }
+        }
+        out.retain(|a| !matches!(a, Action::Timer { .. }));
+        out
+    }
+
+    /// Lets time pass, firing timers; returns what was done, with its time.
+    pub fn run_to(&mut self, end: Micros) -> Vec<(Micros, Action)> {
+        let mut done = Vec::new();
+        while let Some((at, timer)) = self.timers.iter().copied().filter(|t| t.0 <= end).min() {
+            self.timers.retain(|t| t.1 != timer);
+            self.now = self.now.max(at);
+            done.extend(self.event(Event::Timer { timer }).into_iter().map(|a| (self.now, a)));
+        }
+        self.now = self.now.max(end);
+        done
+    }
+
+    pub fn request(&mut self, class: usize, customer: u64, patience: Micros) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let actions = self.event(Event::Request {
+            id,
+            class,
+            plan: 0,
+            customer: CustomerId(customer),
+            patience,
+            units: 1.0,
+            spread: 2,
+            first: 0,
+        });
+        (id, actions)
+    }
+
+    pub fn outcome(&mut self, id: RequestId, attempt: u32, server: ServerId, status: Status) -> Vec<Action> {
+        self.event(Event::Outcome {
+            id,
+            attempt,
+            server,
+            status,
+            took: 30 * MS,
+            closed: status == Status::Ok,
+            used: None,
+            settled: None,
+            load: None,
+        })
+    }
+}
+
+/// Where the actions send the request, if they do.
+pub fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
--- /dev/null
+++ b/tests/servers.rs
@@ -0,0 +1,96 @@
+//! Drains, cold servers and ejection.
+
+mod common;
+use common::*;
+use frostgauge::*;
+
+fn delta(entry: Entry, state: State) -> Event {
+    Event::Servers { kind: ListKind::Delta, entries: vec![Entry { state, ..entry }] }
+}
+
+#[test]
+fn a_draining_or_gone_server_gets_nothing_new() {
+    for state in [State::Draining, State::Gone] {
+        let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0)]);
+        rig.event(delta(entry(1, 0), state));
+        for customer in 0..8 {
+            assert_eq!(sent(&rig.request(0, customer, S).1), Some(ServerId(2)));
+        }
+    }
+}
+
+#[test]
+fn a_server_missing_from_a_complete_list_gets_nothing_new() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    rig.event(Event::Servers { kind: ListKind::Full, entries: vec![entry(2, 0)] });
+    for customer in 0..8 {
+        assert_eq!(sent(&rig.request(0, customer, S).1), Some(ServerId(2)));
+    }
+}
+
+#[test]
+fn a_failed_list_keeps_the_old_one_and_asks_again() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0)]);
+    let actions = rig.event(Event::Servers { kind: ListKind::Failed, entries: vec![] });
+    assert_eq!(actions, [Action::Watch]);
+    assert!(sent(&rig.request(0, 1, S).1).is_some());
+}
+
+/// Sends to server 2 within the window of the fall rule after it came up cold beside a warm one.
+fn sends_to_a_cold_server(offered: u64) -> usize {
+    let mut rig = Rig::new(settings(), &[entry(1, 0)]);
+    let mut to_cold = 0;
+    for k in 0..3 * offered {
+        rig.run_to(S + k * 1_500 * MS / offered);
+        if k == 2 * offered {
+            rig.event(delta(Entry { ready_at: rig.now, ..entry(2, 0) }, State::Ready));
+        }
+        let (id, actions) = rig.request(0, 100 + k, S);
+        if let Some(server) = sent(&actions) {
+            to_cold += usize::from(server == ServerId(2));
+            rig.outcome(id, 0, server, Status::Ok);
+        }
+    }
+    to_cold
+}
+
+#[test]
+fn a_cold_server_gets_some_work_but_less_than_its_part_of_the_fall_budget() {
+    let got = sends_to_a_cold_server(150);
+    // A tenth of the ramp at the window's middle: 0.2 + 0.8 * 0.075 of the 150 a warm one takes, times 3.
+    assert!(got >= 1 && (got as f64) < 3.0 * 0.26 * 150.0, "{got}");
+}
+
+#[test]
+fn a_server_that_fails_fast_is_left_and_tried_again_later() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0), entry(3, 0)]);
+    let mut bad = 0;
+    for k in 0..60 {
+        let (id, actions) = rig.request(0, 100 + k, S);
+        let Some(server) = sent(&actions) else { continue };
+        let status = if server == ServerId(1) { Status::Error } else { Status::Ok };
+        bad += u32::from(status == Status::Error);
+        rig.outcome(id, 0, server, status);
+    }
+    assert!((1..=6).contains(&bad), "{bad}");
+    rig.run_to(rig.now + 20 * S);
+    let tried = (0..60).any(|k| {
+        let (id, actions) = rig.request(0, 300 + k, S);
+        sent(&actions).is_some_and(|s| {
+            rig.outcome(id, 0, s, Status::Ok);
+            s == ServerId(1)
+        })
+    });
+    assert!(tried);
+}
+
+#[test]
+fn when_most_servers_look_bad_no_verdict_is_trusted() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    for k in 0..40 {
+        let (id, actions) = rig.request(0, 100 + k, S);
+        let Some(server) = sent(&actions) else { continue };
+        rig.outcome(id, 0, server, Status::Reset);
+    }
+    assert!(sent(&rig.request(0, 500, S).1).is_some());
+}
