--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,9 +35,10 @@
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
                               // Requests.
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
-const ANSWER_OF_AIM: f64 = 0.4; // mean time to answer aimed at when short: longer queues end past the aim
+const ANSWER_OF_AIM: f64 = 0.3; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
+const LATE_ROOM: f64 = 0.5; // part of that room open to tries whose client has waited past the aim already
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
 const RETRY_MOST: f64 = 10.0; // most further attempts saved up
@@ -231,6 +232,7 @@
     customer: CustomerId,
     units: f64,
     arrived: Micros,
+    waited: Micros,
     deadline: Micros,
     held: bool,
     inside: bool,
@@ -259,6 +261,7 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
+    usual: Vec<Micros>,
     out_now: u32,
     retries: f64,
     peers: Vec<Micros>,
@@ -285,6 +288,7 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
+            usual: vec![0; settings.classes.len()],
             out_now: 0,
             retries: RETRY_MOST / 2.0,
             peers: vec![0; n],
@@ -458,10 +462,10 @@
     ///
     /// Guards against queues grown past the aim, from overload, a shrunk fleet or slow servers alike.
     /// It could harm after a long lull, when the flow is small; the floor serves then.
-    fn pressed(&self, now: Micros) -> bool {
+    fn pressed(&self, now: Micros, room: f64) -> bool {
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
         let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
-        f64::from(self.out_now) >= floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
+        f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
     }
 
     /// The only place that sends. False if no attempt may go now.
@@ -482,10 +486,10 @@
         if r.attempts.len() >= s.allow.max_attempts as usize || !first && self.retries < 1.0 {
             return false;
         }
-        if self.pressed(now) {
+        let left = (r.arrived + class.aim).saturating_sub(now + r.waited) as f64;
+        if self.pressed(now, if left < ANSWER_OF_AIM * class.aim as f64 { LATE_ROOM } else { 1.0 }) {
             return false;
         }
-        let left = (r.arrived + class.aim).saturating_sub(now) as f64;
         let Some((server, wait)) = self.pick(now, id, !first) else { return false };
         if wait > PRESS_OF_AIM * if first { class.aim as f64 } else { left } {
             return false;
@@ -818,12 +822,20 @@
                 }
                 self.customer(now, customer, plan, spread, first);
                 let deadline = now.saturating_add(patience - margin);
+                // A first try has the class's usual, longest patience; a later one has less left, and
+                // what is missing of the deadline has gone by. Where tries are cut shorter than that
+                // nothing shows, and the try counts as fresh.
+                self.usual[class] = self.usual[class].max(patience);
+                let short = patience + margin < self.usual[class];
+                let waited =
+                    if short { self.settings.classes[class].deadline.saturating_sub(patience) } else { 0 };
                 let request = Request {
                     class,
                     plan,
                     customer,
                     units,
                     arrived: now,
+                    waited,
                     deadline,
                     held: false,
                     inside: false,
