--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,8 +18,7 @@
 const HEARTBEAT: Micros = 500_000; // µs; three lost in a row are rarer than a peer that is down
 const COUNTER_TTL: Micros = 60_000_000; // µs; the longest life a counter's name may have
 const COUNTER_TRIALS: usize = 1; // calls a round while the counter is silent, to see it return
-const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
-                                // Servers.
+                                 // Servers.
 const START_ITEM_US: f64 = 40_000.0; // µs; time per request held before any was seen; soon replaced
 const ITEM_GAIN: f64 = 0.1; // weight of one answer in a server's time per request held
 const OK_GAIN: f64 = 0.1; // weight of one outcome in a server's success score
@@ -152,9 +151,10 @@
         plan.ceiling_rate <= 0.0 || self.slice >= units
     }
 
-    /// Draws what others are told to have used.
-    fn draw_told(&mut self, now: Micros, units: f64, plan: &Plan) {
-        self.level = (self.level - units).max((-plan.burst * DEBT_OF_BURST).min(self.level));
+    /// Draws what others are told to have used; what two gateways sent on at once for the last units
+    /// was beyond the quota and took nothing, so it leaves no debt.
+    fn draw_told(&mut self, now: Micros, units: f64) {
+        self.level = (self.level - units).max(self.level.min(0.0));
         self.others.add(now, units);
     }
 }
@@ -347,7 +347,7 @@
     fn idle_after(&self, plan: usize, spread: usize) -> Micros {
         let p = &self.settings.plans[plan];
         let fill = |most: f64, rate: f64| if rate > 0.0 { most / rate } else { 0.0 };
-        let quota = fill(p.burst * (1.0 + DEBT_OF_BURST), p.rate) * spread as f64;
+        let quota = fill(p.burst, p.rate) * spread as f64;
         let ceiling = fill(p.ceiling_burst + p.ceiling_slack, p.ceiling_rate);
         ((quota.max(ceiling) + 1.0).min(3_600.0) * 1e6) as Micros
     }
@@ -502,16 +502,16 @@
                 return false;
             }
             c.slice -= units;
+            c.mine.add(now, units);
             if r.inside {
                 c.level -= units;
+                c.sent += units;
+                c.uncounted += units;
             }
-            c.mine.add(now, units);
-            c.sent += units;
-            c.uncounted += units;
-            if s.allow.counter {
+            if s.allow.counter && r.inside {
                 self.to_count.insert(customer);
             }
-            if s.allow.peers && c.sent > units {
+            if s.allow.peers && r.inside && c.sent > units {
                 for k in 0..c.spread {
                     self.outbox[(c.first + k) % s.gateways].insert(customer);
                 }
@@ -728,7 +728,7 @@
             c.heard.push((from, life, total));
             let units = f64::from(fresh) / 8.0;
             c.refill(now, &p, true);
-            c.draw_told(now, if units <= p.burst { units } else { 0.0 }, &p);
+            c.draw_told(now, if units <= p.burst { units } else { 0.0 });
         }
     }
 
@@ -758,7 +758,7 @@
                 let first = c.total == 0.0 && c.others.value == 0.0;
                 c.total = total;
                 c.refill(now, plan, true);
-                c.draw_told(now, if first && others > plan.burst { 0.0 } else { others }, plan);
+                c.draw_told(now, if first && others > plan.burst { 0.0 } else { others });
             }
             None if !unsure => c.uncounted += added,
             None => {}
