--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,7 @@
                                // Metered share.
 const MEMORY_S: f64 = 1.5; // s; horizon of use rates: about the age of what the meter tells
 const METER_STALE: Micros = 4_000_000; // µs; an older figure of use says nothing, the even slice serves
+const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
 const ROUND: Micros = 100_000; // µs; housekeeping, and how often use is told: well under any burst's length
 const PEER_FRESH: Micros = 1_500_000; // µs; a peer not heard for this long may be down or cut off
 const HEARTBEAT: Micros = 500_000; // µs; three lost in a row are rarer than a peer that is down
@@ -37,6 +38,8 @@
 const ANSWER_OF_AIM: f64 = 0.3; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
+const STRAIN: f64 = 0.25; // mean time to answer, in aims, from which the back end may be short
+const STRAIN_GAIN: f64 = 0.05; // weight of one answer in that mean: some twenty answers
 const LATE_ROOM: f64 = 0.5; // part of that room open to tries whose client has waited past the aim already
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
@@ -151,10 +154,9 @@
         plan.ceiling_rate <= 0.0 || self.slice >= units
     }
 
-    /// Draws what others are told to have used; what two gateways sent on at once for the last units
-    /// was beyond the quota and took nothing, so it leaves no debt.
-    fn draw_told(&mut self, now: Micros, units: f64) {
-        self.level = (self.level - units).max(self.level.min(0.0));
+    /// Draws what others are told to have used. Units that two gateways took at once leave a debt.
+    fn draw_told(&mut self, now: Micros, units: f64, plan: &Plan) {
+        self.level = (self.level - units).max((-plan.burst * DEBT_OF_BURST).min(self.level));
         self.others.add(now, units);
     }
 }
@@ -261,6 +263,7 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
+    strain: f64,
     usual: Vec<Micros>,
     out_now: u32,
     retries: f64,
@@ -288,6 +291,7 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
+            strain: 0.0,
             usual: vec![0; settings.classes.len()],
             out_now: 0,
             retries: RETRY_MOST / 2.0,
@@ -347,7 +351,7 @@
     fn idle_after(&self, plan: usize, spread: usize) -> Micros {
         let p = &self.settings.plans[plan];
         let fill = |most: f64, rate: f64| if rate > 0.0 { most / rate } else { 0.0 };
-        let quota = fill(p.burst, p.rate) * spread as f64;
+        let quota = fill(p.burst * (1.0 + DEBT_OF_BURST), p.rate) * spread as f64;
         let ceiling = fill(p.ceiling_burst + p.ceiling_slack, p.ceiling_rate);
         ((quota.max(ceiling) + 1.0).min(3_600.0) * 1e6) as Micros
     }
@@ -465,7 +469,8 @@
     fn pressed(&self, now: Micros, room: f64) -> bool {
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
         let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
-        f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
+        self.strain > STRAIN
+            && f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
     }
 
     /// The only place that sends. False if no attempt may go now.
@@ -593,6 +598,9 @@
         let done = r.done;
         let aim = seconds(self.settings.classes[r.class].aim);
         self.out_now = self.out_now.saturating_sub(1);
+        if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
+            self.strain += STRAIN_GAIN * (seconds(took) / aim - self.strain);
+        }
         if status == Status::Ok {
             self.flow.add(now, ANSWER_OF_AIM * aim);
         }
@@ -728,7 +736,7 @@
             c.heard.push((from, life, total));
             let units = f64::from(fresh) / 8.0;
             c.refill(now, &p, true);
-            c.draw_told(now, if units <= p.burst { units } else { 0.0 });
+            c.draw_told(now, if units <= p.burst { units } else { 0.0 }, &p);
         }
     }
 
@@ -758,7 +766,7 @@
                 let first = c.total == 0.0 && c.others.value == 0.0;
                 c.total = total;
                 c.refill(now, plan, true);
-                c.draw_told(now, if first && others > plan.burst { 0.0 } else { others });
+                c.draw_told(now, if first && others > plan.burst { 0.0 } else { others }, plan);
             }
             None if !unsure => c.uncounted += added,
             None => {}
