--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,6 @@
 const ANSWER_OF_AIM: f64 = 0.3; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
-const STRAIN: f64 = 0.25; // mean time to answer, in aims, from which the back end may be short
-const STRAIN_GAIN: f64 = 0.05; // weight of one answer in that mean: some twenty answers
 const LATE_ROOM: f64 = 0.5; // part of that room open to tries whose client has waited past the aim already
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
@@ -263,7 +261,6 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
-    strain: f64,
     usual: Vec<Micros>,
     out_now: u32,
     retries: f64,
@@ -291,7 +288,6 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
-            strain: 0.0,
             usual: vec![0; settings.classes.len()],
             out_now: 0,
             retries: RETRY_MOST / 2.0,
@@ -394,6 +390,7 @@
         let Some(c) = self.customers.get(&customer) else { return };
         let told = self.told(now, c);
         let spare = self.pick(now, id, false).is_some_and(|(_, wait)| wait < SPARE_OF_AIM * aim as f64);
+        let crowded = self.pressed(now, LATE_ROOM);
         let p = &self.settings.plans[plan];
         let Some(c) = self.customers.get_mut(&customer) else { return };
         c.refill(now, p, told);
@@ -403,7 +400,7 @@
         let share = c.share(now, told);
         let inside = c.covers(units, p, share);
         let lack = if p.rate > 0.0 { (units - c.level).max(0.0) / (p.rate * share) } else { 0.0 };
-        let pays = p.over_worth > p.over_cost && spare;
+        let pays = p.over_worth > p.over_cost && spare && !crowded;
         if !inside && !pays {
             return self.answer(id, (lack * 1e6) as Micros, out);
         }
@@ -469,8 +466,7 @@
     fn pressed(&self, now: Micros, room: f64) -> bool {
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
         let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
-        self.strain > STRAIN
-            && f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
+        f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
     }
 
     /// The only place that sends. False if no attempt may go now.
@@ -492,10 +488,10 @@
             return false;
         }
         let left = (r.arrived + class.aim).saturating_sub(now + r.waited) as f64;
-        if self.pressed(now, if left < ANSWER_OF_AIM * class.aim as f64 { LATE_ROOM } else { 1.0 }) {
+        let Some((server, wait)) = self.pick(now, id, !first) else { return false };
+        if self.pressed(now, if left < wait { LATE_ROOM } else { 1.0 }) {
             return false;
         }
-        let Some((server, wait)) = self.pick(now, id, !first) else { return false };
         if wait > PRESS_OF_AIM * if first { class.aim as f64 } else { left } {
             return false;
         }
@@ -598,9 +594,6 @@
         let done = r.done;
         let aim = seconds(self.settings.classes[r.class].aim);
         self.out_now = self.out_now.saturating_sub(1);
-        if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
-            self.strain += STRAIN_GAIN * (seconds(took) / aim - self.strain);
-        }
         if status == Status::Ok {
             self.flow.add(now, ANSWER_OF_AIM * aim);
         }
