--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,9 @@
 const ANSWER_OF_AIM: f64 = 0.3; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
+const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
+const USUAL_STEP: f64 = 0.02; // of the deadline; some fifty tries bring the usual patience home
+const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
 const LATE_ROOM: f64 = 0.5; // part of that room open to tries whose client has waited past the aim already
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
@@ -261,7 +264,7 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
-    usual: Vec<Micros>,
+    usual: Vec<f64>,
     out_now: u32,
     retries: f64,
     peers: Vec<Micros>,
@@ -288,7 +291,7 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
-            usual: vec![0; settings.classes.len()],
+            usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             out_now: 0,
             retries: RETRY_MOST / 2.0,
             peers: vec![0; n],
@@ -823,13 +826,13 @@
                 }
                 self.customer(now, customer, plan, spread, first);
                 let deadline = now.saturating_add(patience - margin);
-                // A first try has the class's usual, longest patience; a later one has less left, and
-                // what is missing of the deadline has gone by. Where tries are cut shorter than that
-                // nothing shows, and the try counts as fresh.
-                self.usual[class] = self.usual[class].max(patience);
-                let short = patience + margin < self.usual[class];
-                let waited =
-                    if short { self.settings.classes[class].deadline.saturating_sub(patience) } else { 0 };
+                // A first try has the class's usual patience; a later one has less left, and what is
+                // missing of the deadline has gone by. The usual is a running upper quantile.
+                let (deadline_us, left) = (self.settings.classes[class].deadline, patience as f64);
+                let up = if left > self.usual[class] { USUAL_RANK } else { USUAL_RANK - 1.0 };
+                self.usual[class] += up * USUAL_STEP * deadline_us as f64;
+                let short = left < SHORT * self.usual[class];
+                let waited = if short { deadline_us.saturating_sub(patience) } else { 0 };
                 let request = Request {
                     class,
                     plan,
