Room by what a try earns: late, beyond-quota and cheap tries find less of it when the back end is short

Cause: when short, the cheap class took the room of the dear one; worth had only been used by accident. One rule now covers late tries, use beyond quotas and worth. Could starve a cheap class when short; half the room stays.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,10 +38,10 @@
 const ANSWER_OF_AIM: f64 = 0.3; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 4.0; // requests a server may hold from all gateways however few answers come
-const USUAL_RANK: f64 = 0.85; // most tries are first ones, but on bad days only some four in ten
-const USUAL_STEP: f64 = 0.01; // of the deadline; some fifty tries bring the usual patience home
+const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
+const USUAL_STEP: f64 = 0.02; // of the deadline; some fifty tries bring the usual patience home
 const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
-const LATE_ROOM: f64 = 0.5; // part of that room open to tries whose client has waited past the aim already
+const LEAST_ROOM: f64 = 0.5; // part of the room open to what earns nothing; the dearest has it all
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
 const RETRY_MOST: f64 = 10.0; // most further attempts saved up
@@ -264,6 +264,7 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
+    dearest: f64,
     usual: Vec<f64>,
     out_now: u32,
     retries: f64,
@@ -280,6 +281,9 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         check(&settings)?;
         let n = settings.gateways;
+        let most = |worths: Vec<f64>| worths.into_iter().fold(0.0, f64::max);
+        let dearest = most(settings.classes.iter().map(|c| c.worth).collect())
+            * most(settings.plans.iter().map(|p| p.price).collect());
         Ok(Gateway {
             life: (seed ^ (seed >> 32)) as u32,
             launched: now,
@@ -291,6 +295,7 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
+            dearest,
             usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             out_now: 0,
             retries: RETRY_MOST / 2.0,
@@ -393,7 +398,6 @@
         let Some(c) = self.customers.get(&customer) else { return };
         let told = self.told(now, c);
         let spare = self.pick(now, id, false).is_some_and(|(_, wait)| wait < SPARE_OF_AIM * aim as f64);
-        let crowded = self.pressed(now, LATE_ROOM);
         let p = &self.settings.plans[plan];
         let Some(c) = self.customers.get_mut(&customer) else { return };
         c.refill(now, p, told);
@@ -403,7 +407,7 @@
         let share = c.share(now, told);
         let inside = c.covers(units, p, share);
         let lack = if p.rate > 0.0 { (units - c.level).max(0.0) / (p.rate * share) } else { 0.0 };
-        let pays = p.over_worth > p.over_cost && spare && !crowded;
+        let pays = p.over_worth > p.over_cost && spare;
         if !inside && !pays {
             return self.answer(id, (lack * 1e6) as Micros, out);
         }
@@ -466,7 +470,8 @@
     ///
     /// Guards against queues grown past the aim, from overload, a shrunk fleet or slow servers alike.
     /// It could harm after a long lull, when the flow is small; the floor serves then.
-    fn pressed(&self, now: Micros, room: f64) -> bool {
+    fn pressed(&self, now: Micros, worth: f64) -> bool {
+        let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
         let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
         f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
@@ -492,7 +497,9 @@
         }
         let left = (r.arrived + class.aim).saturating_sub(now + r.waited) as f64;
         let Some((server, wait)) = self.pick(now, id, !first) else { return false };
-        if self.pressed(now, if left < wait { LATE_ROOM } else { 1.0 }) {
+        let earns = if left < wait { class.late_worth } else { 1.0 };
+        let earns = if r.inside { earns } else { earns * plan.over_worth };
+        if self.pressed(now, earns * class.worth * plan.price) {
             return false;
         }
         if wait > PRESS_OF_AIM * if first { class.aim as f64 } else { left } {
