--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -120,6 +120,18 @@
         (id, actions)
     }
 
+    /// Plays a fresh customer's request to its end, each attempt ending as `status` says of its server;
+    /// returns the servers tried.
+    pub fn play(&mut self, customer: u64, status: impl Fn(ServerId) -> Status) -> Vec<ServerId> {
+        let (id, mut actions) = self.request(0, customer, 2 * S);
+        let mut tried = Vec::new();
+        while let Some(server) = sent(&actions) {
+            actions = self.outcome(id, tried.len() as u32, server, status(server));
+            tried.push(server);
+        }
+        tried
+    }
+
     pub fn outcome(&mut self, id: RequestId, attempt: u32, server: ServerId, status: Status) -> Vec<Action> {
         self.event(Event::Outcome {
             id,
