--- a/src/choice.rs
+++ b/src/choice.rs
@@ -481,7 +481,8 @@
         let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
         let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
-        f64::from(self.out_now) >= room * floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0)
+        let bound = floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0);
+        f64::from(self.out_now) >= room * bound + bound.sqrt()
     }
 
     /// The only place that sends. False if no attempt may go now.
