--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,7 +41,7 @@
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
                               // Requests.
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
-const ANSWER_OF_AIM: f64 = 0.22; // mean time to answer aimed at when short: longer queues end past the aim
+const ANSWER_OF_AIM: f64 = 0.27; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 2.5; // requests a server may hold from all gateways however few answers come
 const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
