--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,7 @@
 const MEMORY_S: f64 = 1.5; // s; horizon of use rates: about the age of what the meter tells
 const METER_STALE: Micros = 4_000_000; // µs; an older figure of use says nothing, the even slice serves
 const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
-const ROUND: Micros = 100_000; // µs; housekeeping, and how often use is told: well under any burst's length
+const ROUND: Micros = 50_000; // µs; housekeeping, and how often use is told: well under any burst's length
 const PEER_FRESH: Micros = 1_500_000; // µs; a peer not heard for this long may be down or cut off
 const HEARTBEAT: Micros = 500_000; // µs; three lost in a row are rarer than a peer that is down
 const MAIL_PART: f64 = 0.8; // part of a gateway's intake that its peers fill together
@@ -41,7 +41,7 @@
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
                               // Requests.
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
-const ANSWER_OF_AIM: f64 = 0.27; // mean time to answer aimed at when short: longer queues end past the aim
+const ANSWER_OF_AIM: f64 = 0.22; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 2.5; // requests a server may hold from all gateways however few answers come
 const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
