--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,10 +41,7 @@
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
                               // Requests.
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
-const ANSWER_OF_SWIFT: f64 = 1.9; // time to answer aimed at when short, in times of lightly loaded servers
-const ANSWER_OF_AIM: f64 = 0.4; // and never more than this part of the aim: longer queues end past it
-const SWIFT_GAIN: f64 = 0.05; // weight of one answer in a class's mean time: some twenty answers
-const SWIFT_RISE: f64 = 1.001; // rise of the lightly loaded time with each answer, to follow slower work
+const ANSWER_OF_AIM: f64 = 0.22; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
 const FLOOR_HELD: f64 = 2.5; // requests a server may hold from all gateways however few answers come
 const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
@@ -283,7 +280,6 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
-    swift: Vec<(f64, f64)>,
     dearest: f64,
     usual: Vec<f64>,
     out_now: u32,
@@ -304,8 +300,6 @@
         let most = |worths: Vec<f64>| worths.into_iter().fold(0.0, f64::max);
         let dearest = most(settings.classes.iter().map(|c| c.worth).collect())
             * most(settings.plans.iter().map(|p| p.price).collect());
-        let slow = |c: &Class| ANSWER_OF_AIM / ANSWER_OF_SWIFT * seconds(c.aim);
-        let swift = settings.classes.iter().map(|c| (slow(c), slow(c))).collect();
         Ok(Gateway {
             life: (seed ^ (seed >> 32)) as u32,
             launched: now,
@@ -317,7 +311,6 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
-            swift,
             dearest,
             usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             out_now: 0,
@@ -620,10 +613,7 @@
         let aim = seconds(self.settings.classes[r.class].aim);
         self.out_now = self.out_now.saturating_sub(1);
         if status == Status::Ok {
-            let (mean, swift) = &mut self.swift[r.class];
-            *mean += SWIFT_GAIN * (seconds(took) - *mean);
-            *swift = mean.min(*swift * SWIFT_RISE);
-            self.flow.add(now, (ANSWER_OF_SWIFT * *swift).min(ANSWER_OF_AIM * aim));
+            self.flow.add(now, ANSWER_OF_AIM * aim);
         }
         if let Some(x) = self.servers.get_mut(&server) {
             x.open = x.open.saturating_sub(1);
