--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,12 +43,11 @@
 const PRESS_OF_AIM: f64 = 1.0; // no server expected to answer within this part of the aim: refuse at once
 const ANSWER_OF_AIM: f64 = 0.22; // mean time to answer aimed at when short: longer queues end past the aim
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
-const FLOOR_HELD: f64 = 2.5; // requests a server may hold from all gateways however few answers come
+const FLOOR_HELD: f64 = 3.5; // requests a server may hold from all gateways however few answers come
 const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
 const USUAL_STEP: f64 = 0.02; // of the deadline; some fifty tries bring the usual patience home
 const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
-const IDLE_OF_AIM: f64 = 0.15; // a server expected to answer this fast is idle: the back end is not short
-const LEAST_ROOM: f64 = 0.5; // part of the room open to what earns nothing; the dearest has it all
+const LEAST_ROOM: f64 = 0.65; // part of the room open to what earns nothing; the dearest has it all
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
 const RETRY_MOST: f64 = 10.0; // most further attempts saved up
@@ -508,8 +507,7 @@
         let Some((server, wait)) = self.pick(now, id, !first) else { return false };
         let earns = if left < wait { class.late_worth } else { 1.0 };
         let earns = if r.inside { earns } else { earns * plan.over_worth };
-        let idle = wait < IDLE_OF_AIM * class.aim as f64;
-        if !idle && self.pressed(now, earns * class.worth * plan.price) {
+        if self.pressed(now, earns * class.worth * plan.price) {
             return false;
         }
         if wait > PRESS_OF_AIM * if first { class.aim as f64 } else { left } {
