The floor shrinks as answers take longer than aimed at

Guards against any slowing: thrash, stalls, a shrunk fleet. Could harm classes whose work alone takes over 0.22 of the aim: their floor is lower than needed after a lull.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,7 @@
 const USUAL_RANK: f64 = 0.7; // most tries are first ones, but on bad days only some four in ten
 const USUAL_STEP: f64 = 0.02; // of the deadline; some fifty tries bring the usual patience home
 const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
+const STRAIN_GAIN: f64 = 0.05; // weight of one answer in the mean time to answer: some twenty answers
 const LEAST_ROOM: f64 = 0.5; // part of the room open to what earns nothing; the dearest has it all
 const SPARE_OF_AIM: f64 = 0.25; // servers this far under the aim have room for use beyond quotas
 const RETRY_SHARE: f64 = 0.15; // further attempts per first attempt
@@ -280,6 +281,7 @@
     next_timer: u64,
     sends: Rate,
     flow: Rate,
+    strain: f64,
     dearest: f64,
     usual: Vec<f64>,
     out_now: u32,
@@ -311,6 +313,7 @@
             next_timer: 0,
             sends: Rate::default(),
             flow: Rate::default(),
+            strain: 0.0,
             dearest,
             usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             out_now: 0,
@@ -476,11 +479,13 @@
     /// would hold if each took the time aimed at (Little's law).
     ///
     /// Guards against queues grown past the aim, from overload, a shrunk fleet or slow servers alike.
-    /// It could harm after a long lull, when the flow is small; the floor serves then.
+    /// It could harm after a long lull, when the flow is small; the floor serves then, less of it the
+    /// longer answers take, as slowed servers bear less.
     fn pressed(&self, now: Micros, worth: f64) -> bool {
         let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
-        let floor = FLOOR_HELD * ready / self.settings.gateways as f64;
+        let slow = (ANSWER_OF_AIM / self.strain.max(1e-9)).min(1.0);
+        let floor = slow * FLOOR_HELD * ready / self.settings.gateways as f64;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now)).max(1.0);
         f64::from(self.out_now) >= room * bound + bound.sqrt()
     }
@@ -612,6 +617,9 @@
         let done = r.done;
         let aim = seconds(self.settings.classes[r.class].aim);
         self.out_now = self.out_now.saturating_sub(1);
+        if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
+            self.strain += STRAIN_GAIN * (seconds(took) / aim - self.strain);
+        }
         if status == Status::Ok {
             self.flow.add(now, ANSWER_OF_AIM * aim);
         }
