--- /dev/null
+++ b/tests/pressure.rs
@@ -0,0 +1,54 @@
+//! What is held back while the back end is short.
+
+mod common;
+use common::*;
+use frostgauge::*;
+
+/// Requests of fresh customers that go out before the first is refused, none being answered.
+fn taken(rig: &mut Rig, class: usize) -> usize {
+    (0..200).take_while(|k| sent(&rig.request(class, 1000 + k, 2 * S).1).is_some()).count()
+}
+
+fn rig() -> Rig {
+    let mut s = Settings { gateways: 1, ..settings() };
+    s.classes = vec![class(Effect::Safe), Class { worth: 4.0, ..class(Effect::Safe) }];
+    Rig::new(s, &[entry(1, 0), entry(2, 0), entry(3, 0), entry(4, 0)])
+}
+
+#[test]
+fn what_is_out_is_bounded_though_nothing_is_answered() {
+    let taken = taken(&mut rig(), 1);
+    assert!((8..=30).contains(&taken), "{taken}");
+}
+
+#[test]
+fn the_cheap_class_finds_less_room_than_the_dear_one() {
+    let (cheap, dear) = (taken(&mut rig(), 0), taken(&mut rig(), 1));
+    assert!(cheap < dear && cheap > 0, "{cheap} {dear}");
+}
+
+#[test]
+fn slow_answers_shrink_the_floor() {
+    let slowed = |took| {
+        let mut rig = rig();
+        for k in 0..60 {
+            let (id, actions) = rig.request(1, k, 2 * S);
+            let server = sent(&actions).expect("room for one");
+            rig.event(Event::Outcome {
+                id,
+                attempt: 0,
+                server,
+                status: Status::Ok,
+                took,
+                closed: true,
+                used: None,
+                settled: None,
+                load: None,
+            });
+        }
+        rig.run_to(20 * S);
+        taken(&mut rig, 1)
+    };
+    let (fast, slow) = (slowed(20 * MS), slowed(500 * MS));
+    assert!(slow < fast && slow > 0, "{slow} {fast}");
+}
