--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -145,3 +145,29 @@
         .batch(&line)
         .is_err_and(|m| m.contains("batch 8") && m.contains("demand") && m.contains("call")));
 }
+
+/// Runs the program itself on the given input; its exit code and what it printed.
+fn program(input: &str) -> (Option<i32>, String, String) {
+    use std::io::Write;
+    use std::process::{Command, Stdio};
+    let mut child = Command::new(env!("CARGO_BIN_EXE_frostgauge-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    child.stdin.take().expect("a pipe").write_all(input.as_bytes()).expect("it reads");
+    let done = child.wait_with_output().expect("it ends");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (done.status.code(), text(done.stdout), text(done.stderr))
+}
+
+#[test]
+fn the_program_ends_well_at_the_end_of_input_and_badly_on_what_is_no_batch() {
+    let (code, out, err) = program("{\"atTimeUs\":5,\"serial\":1,\"items\":[]}\n");
+    assert_eq!((code, err.as_str()), (Some(0), ""));
+    assert_eq!(serde_json::from_str::<Value>(&out).expect("a reply"), json!({"serial": 1, "out": []}));
+    let (code, out, err) = program("nonsense\n");
+    assert_eq!((code, out.as_str()), (Some(1), ""));
+    assert!(err.contains("not a batch"), "{err}");
+}
