--- a/simhost/src/events.rs
+++ b/simhost/src/events.rs
@@ -1,7 +1,7 @@
 //! Events, read off the wire.
 
-use crate::actions::unbase64;
 use crate::Instance;
+use base64::{prelude::BASE64_STANDARD, Engine};
 use frostgauge::{CounterId, CustomerId, Entry, Event, ListKind, Load, ServerId, State, Status, TimerId};
 use serde_json::Value;
 
@@ -116,6 +116,7 @@
                 units: number(f, 5, "units")?,
                 spread: whole(f, 6, "setSize")? as usize,
                 first: whole(f, 7, "firstDoor")? as usize,
+                repeat: whole(f, 8, "flags")? & 2 != 0,
             }
         }
         "established" => match instance.ids.get(text(f, 0, "call")?) {
@@ -145,7 +146,7 @@
         },
         "peerData" => Event::Peer {
             from: whole(f, 0, "who")? as usize,
-            data: unbase64(text(f, 1, "body")?).ok_or("body")?,
+            data: BASE64_STANDARD.decode(text(f, 1, "body")?).map_err(|_| "body")?,
         },
         "counterReply" => {
             let status = text(f, 1, "verdict")?;
@@ -155,6 +156,7 @@
                 ),
                 total: if status == "OK" { Some(number(f, 2, "total")?) } else { None },
                 unsure: status == "DEADLINE_EXCEEDED",
+                took: whole(f, 3, "costTimeUs")?,
             }
         }
         _ => return Ok(None),
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -40,6 +40,8 @@
     let root = Reader(info, String::new());
     let (limits, rules, family, stats) =
         (root.at("limits")?, root.at("rules")?, root.at("familyInfo")?, root.at("stats")?);
+    let none = Value::Null;
+    let prices = root.at("prices").unwrap_or(Reader(&none, String::new()));
     let class = |c: Reader| {
         let group = match c.word("group") {
             "zone" => Group::Zone,
@@ -91,7 +93,12 @@
             max_retry_after: limits.micros("maxRetryAfterUs")?,
             max_attempts: limits.number("attemptsCap")? as u32,
             peer_in_per_s: family.number("mailPerS").unwrap_or(0.0),
+            peer_price: prices.number("peer").unwrap_or(0.0),
+            probe_price: prices.number("probe").unwrap_or(0.0),
             counter: family.flag("sharedCounter"),
+            count_fee: family.number("countFee").unwrap_or(0.0),
+            count_limit: family.micros("countLimitUs").unwrap_or(0),
+            marks_repeats: root.at("callers").is_ok_and(|c| c.flag("marksRetry")),
             meter: family.micros("meterUs").unwrap_or(0),
             settles: family.flag("truedUp"),
             reports: match stats.word("how") {
--- a/src/api.rs
+++ b/src/api.rs
@@ -62,7 +62,7 @@
 }
 
 /// A plan; its figures hold for each customer, over all gateways together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     /// Units a second; 0 means no such quota.
     pub rate: f64,
@@ -85,18 +85,19 @@
 }
 
 /// How load reports reach the gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
     /// With answers and probes.
     Answers,
     /// With probes only.
     Probe,
     /// Not at all.
+    #[default]
     None,
 }
 
 /// What the site lets a gateway do, and the prices that bear on a decision.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Allow {
     /// Servers may be probed.
     pub probes: bool,
@@ -114,8 +115,18 @@
     pub max_attempts: u32,
     /// Messages a second that a gateway takes in.
     pub peer_in_per_s: f64,
+    /// Part of the result that one whole message a request costs.
+    pub peer_price: f64,
+    /// Part of the result that one probe a request costs.
+    pub probe_price: f64,
     /// The shared counter may be called.
     pub counter: bool,
+    /// Part of the result that one call a request costs.
+    pub count_fee: f64,
+    /// A call still unanswered by then ends.
+    pub count_limit: Micros,
+    /// Clients mark their repeats.
+    pub marks_repeats: bool,
     /// Period of the use told in answers; 0 means none is told.
     pub meter: Micros,
     /// Units named in requests are guesses, settled by the first good answer.
@@ -127,7 +138,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rules {
     /// A final answer still counts this long after the client's deadline.
     pub answer_slack: Micros,
@@ -142,7 +153,7 @@
 }
 
 /// Everything a gateway is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// This gateway's number.
     pub me: usize,
@@ -283,6 +294,8 @@
         spread: usize,
         /// The first of them.
         first: usize,
+        /// The client marked it as a repeat of an earlier try.
+        repeat: bool,
     },
     /// A streamed answer has begun.
     Started {
@@ -344,6 +357,8 @@
         total: Option<f64>,
         /// The call had no answer; the amount may have been added.
         unsure: bool,
+        /// Time since the call.
+        took: Micros,
     },
 }
 
--- a/src/check.rs
+++ b/src/check.rs
@@ -13,7 +13,7 @@
     sound(!s.classes.is_empty(), "classes", "is empty")?;
     sound(!s.plans.is_empty(), "plans", "is empty")?;
     sound(s.plans.len() <= 256, "plans", "is too long")?;
-    sound(s.gateways > 0 && s.gateways <= 255, "gateways", "is not between 1 and 255")?;
+    sound(s.gateways > 0 && s.gateways <= 65_535, "gateways", "is not between 1 and 65535")?;
     sound(s.me < s.gateways, "me", "is outside the set of gateways")?;
     sound(s.tick > 0, "tick", "is zero")?;
     for (k, c) in s.classes.iter().enumerate() {
@@ -37,6 +37,15 @@
             sound(ok, &format!("plans[{k}].{name}"), "is negative or not finite")?;
         }
     }
+    let prices = [
+        ("peer_in_per_s", s.allow.peer_in_per_s),
+        ("peer_price", s.allow.peer_price),
+        ("probe_price", s.allow.probe_price),
+        ("count_fee", s.allow.count_fee),
+    ];
+    for (name, value) in prices {
+        sound(value.is_finite() && value >= 0.0, &format!("allow.{name}"), "is negative or not finite")?;
+    }
     for (name, value) in [("cold_from", s.rules.cold_from), ("fall_multiple", s.rules.fall_multiple)] {
         sound(value.is_finite() && value >= 0.0, &format!("rules.{name}"), "is negative or not finite")?;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,19 +32,11 @@
 //!         ceiling_slack: 0.0,
 //!     }],
 //!     allow: Allow {
-//!         probes: false,
-//!         peers: false,
 //!         cancel: true,
-//!         second_copies: false,
 //!         retry_after: true,
 //!         max_retry_after: 1_000_000,
 //!         max_attempts: 3,
-//!         peer_in_per_s: 0.0,
-//!         counter: false,
-//!         meter: 0,
-//!         settles: false,
-//!         reports: Reports::None,
-//!         must_ask: false,
+//!         ..Allow::default()
 //!     },
 //!     rules: Rules {
 //!         answer_slack: 5_000,
@@ -67,6 +59,7 @@
 //!     units: 1.0,
 //!     spread: 1,
 //!     first: 0,
+//!     repeat: false,
 //! };
 //! gateway.handle(1_000, request, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
@@ -82,6 +75,7 @@
 mod api;
 mod check;
 mod choice;
+mod parts;
 
 pub use api::*;
 pub use choice::Gateway;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -69,6 +69,7 @@
         units,
         spread: 0,
         first: 9,
+        repeat: false,
     };
     assert!(refused(&rig.event(request(3, 0, 1.0))));
     assert!(refused(&rig.event(request(0, 3, 1.0))));
--- a/tests/legal_orders.rs
+++ b/tests/legal_orders.rs
@@ -151,6 +151,7 @@
                     units: 1.0,
                     spread: 2,
                     first: 0,
+                    repeat: false,
                 });
             }
             Step::End { pick, status } => {
