Tests with hundreds of gateways; ties among drawn servers no longer herd on the last one heard of

The spread test found that 300 gateways with one report all chose that server: the last heard of came before the drawn ones and won ties. Now after them.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -435,8 +435,8 @@
         let many = looks < ready.len();
         let mut order: Vec<usize> = Vec::new();
         if many {
-            order.extend(self.recent.iter().filter_map(|x| ready.binary_search(x).ok()));
             order.extend((0..4 * looks).map(|_| (self.dice.roll() * ready.len() as f64) as usize));
+            order.splice(looks..looks, self.recent.iter().filter_map(|x| ready.binary_search(x).ok()));
         }
         let looks = looks + if many { self.recent.len() } else { 0 };
         let (s, r) = (&self.settings, self.requests.get(&id)?);
--- /dev/null
+++ b/tests/counter.rs
@@ -0,0 +1,126 @@
+//! The shared counter keeps the customer's store; a server may be full to one plan alone.
+
+mod common;
+use common::*;
+use frostgauge::*;
+
+fn counting() -> Settings {
+    let mut s = settings();
+    s.gateways = 160;
+    s.allow.counter = true;
+    s.allow.count_limit = 80 * MS;
+    s.allow.meter = S;
+    s
+}
+
+fn call(actions: &[Action]) -> Option<(CounterId, f64)> {
+    actions.iter().find_map(|a| match a {
+        Action::Count { counter, amount, .. } => Some((*counter, *amount)),
+        _ => None,
+    })
+}
+
+fn reply(rig: &mut Rig, counter: CounterId, total: Option<f64>) -> Vec<Action> {
+    rig.now += 2 * MS;
+    rig.event(Event::Counted { counter, total, unsure: total.is_none(), took: 2 * MS })
+}
+
+/// Where the total stands when the store is full: the rate times the clock.
+fn full(rig: &Rig) -> f64 {
+    2.0 * rig.now as f64 / 1e6
+}
+
+#[test]
+fn a_request_waits_for_the_counters_word_and_goes() {
+    let mut rig = Rig::new(counting(), &[entry(1, 0)]);
+    let (_, actions) = rig.request(0, 5, 2 * S);
+    let (counter, amount) = call(&actions).expect("a call");
+    assert_eq!((counter, amount, sent(&actions)), (CounterId(5), 1.0, None));
+    let total = full(&rig) + 2.0;
+    assert!(sent(&reply(&mut rig, counter, Some(total))).is_some());
+}
+
+#[test]
+fn an_empty_store_refuses_and_what_was_reserved_is_given_back() {
+    let mut rig = Rig::new(counting(), &[entry(1, 0)]);
+    let (_, actions) = rig.request(0, 5, 2 * S);
+    let (counter, _) = call(&actions).expect("a call");
+    let total = full(&rig) + 6.0;
+    let done = reply(&mut rig, counter, Some(total));
+    assert!(refused(&done) && sent(&done).is_none(), "{done:?}");
+    let later: Vec<_> = rig.run_to(rig.now + 300 * MS).into_iter().map(|d| d.1).collect();
+    assert_eq!(call(&later), Some((counter, -1.0)));
+}
+
+#[test]
+fn a_counter_that_came_back_empty_is_put_right() {
+    let mut rig = Rig::new(counting(), &[entry(1, 0)]);
+    rig.run_to(30 * S);
+    let (_, actions) = rig.request(0, 5, 2 * S);
+    let (counter, _) = call(&actions).expect("a call");
+    let done = reply(&mut rig, counter, Some(1.0));
+    assert!(sent(&done).is_some(), "a new store is full");
+    let (_, amount) = call(&done).expect("a second call");
+    assert!((amount - (full(&rig) - 1.0)).abs() < 0.1, "{amount}");
+}
+
+#[test]
+fn a_silent_counter_holds_no_longer_than_any_hold_and_is_called_less() {
+    let mut rig = Rig::new(counting(), &[entry(1, 0)]);
+    let mut calls = 0;
+    for k in 0..100 {
+        let (id, actions) = rig.request(0, 1_000 + k, 2 * S);
+        let asked = call(&actions);
+        let until = rig.now + 90 * MS;
+        let mut done: Vec<Action> = actions;
+        done.extend(rig.run_to(until).into_iter().map(|d| d.1));
+        let server = sent(&done).expect("sent within the hold, as the customer is new");
+        rig.outcome(id, 0, server, Status::Ok);
+        if let Some((counter, _)) = asked {
+            calls += 1;
+            rig.event(Event::Counted { counter, total: None, unsure: true, took: 80 * MS });
+        }
+    }
+    assert!((5..=40).contains(&calls), "{calls}");
+}
+
+#[test]
+fn a_server_full_to_one_plan_still_serves_the_others() {
+    let mut s = settings();
+    s.plans.push(plan());
+    let mut rig = Rig::new(s, &[entry(1, 0), entry(2, 0)]);
+    let full_at_one = |server| if server == ServerId(1) { Status::Full } else { Status::Ok };
+    let first = rig.play(1_000, full_at_one);
+    assert_eq!(first, [ServerId(1), ServerId(2)], "turned away unseen, then served elsewhere");
+    // With work out at the other server, this plan still avoids the full one; another plan goes there.
+    let mine: Vec<_> = (0..3).map(|k| sent(&rig.request(0, 500 + k, 2 * S).1)).collect();
+    assert_eq!(mine, [Some(ServerId(2)); 3]);
+    let other = rig.event(Event::Request {
+        id: RequestId(5_000),
+        class: 0,
+        plan: 1,
+        customer: CustomerId(900),
+        patience: 2 * S,
+        units: 1.0,
+        spread: 2,
+        first: 0,
+        repeat: false,
+    });
+    assert_eq!(sent(&other), Some(ServerId(1)));
+    rig.run_to(rig.now + 10 * S);
+    assert_eq!(sent(&rig.request(0, 600, 2 * S).1), Some(ServerId(1)), "tried again after its pause");
+}
+
+#[test]
+fn senseless_prices_and_numbers_name_their_field() {
+    let bad = |change: fn(&mut Settings)| {
+        let mut s = settings();
+        change(&mut s);
+        Gateway::new(s, 1, 0).err().map(|e| e.field)
+    };
+    assert_eq!(bad(|s| s.gateways = 65_536).as_deref(), Some("gateways"));
+    assert_eq!(bad(|s| s.gateways = 65_535), None);
+    assert_eq!(bad(|s| s.me = 2).as_deref(), Some("me"));
+    assert_eq!(bad(|s| s.allow.count_fee = -0.1).as_deref(), Some("allow.count_fee"));
+    assert_eq!(bad(|s| s.allow.peer_price = f64::NAN).as_deref(), Some("allow.peer_price"));
+}
