--- a/src/choice.rs
+++ b/src/choice.rs
@@ -433,12 +433,17 @@
         let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
         let looks = (ready.len() * CHOICES).div_ceil(self.settings.gateways).max(CHOICES);
         let many = looks < ready.len();
-        let mut order: Vec<usize> = Vec::new();
+        let draws = if many { 4 * looks } else { 0 };
+        let mut order: Vec<_> =
+            (0..draws).map(|_| (self.dice.roll() * ready.len() as f64) as usize).collect();
         if many {
-            order.extend((0..4 * looks).map(|_| (self.dice.roll() * ready.len() as f64) as usize));
-            order.splice(looks..looks, self.recent.iter().filter_map(|x| ready.binary_search(x).ok()));
+            // With the last heard of, and cold ones whose part allows a request.
+            let due = |x: &Server| x.credit >= 1.0 && x.ramp(now, &self.settings.rules) < 1.0;
+            let cold = (0..ready.len()).filter(|k| due(&self.servers[&ready[*k]]));
+            let heard = self.recent.iter().filter_map(|x| ready.binary_search(x).ok());
+            order.splice(looks..looks, heard.chain(cold));
         }
-        let looks = looks + if many { self.recent.len() } else { 0 };
+        let looks = looks + order.len() - draws;
         let (s, r) = (&self.settings, self.requests.get(&id)?);
         let out = ready.iter().filter(|x| self.servers[x].ejected > now).count() as f64;
         let trust = out <= EJECT_SHARE * ready.len() as f64;
@@ -487,7 +492,6 @@
         let slow = (ANSWER_OF_AIM / self.strain.max(1e-9)).min(1.0);
         let floor = slow * FLOOR_HELD * ready / self.settings.gateways as f64;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S)).max(1.0);
-        // So few out at once swing by chance; they count only while answers are slow.
         if bound < FEW && self.strain < ANSWER_OF_AIM {
             return false;
         }
@@ -586,7 +590,6 @@
         }
     }
 
-    /// Takes a server's report of its load.
     fn report(&mut self, now: Micros, server: ServerId, load: Option<Load>) {
         let (Some(x), Some(load)) = (self.servers.get_mut(&server), load) else { return };
         let part = 1.0 - 1.0 / self.settings.gateways as f64;
@@ -679,8 +682,7 @@
                 x.entry.state = State::Gone;
             }
         }
-        let n = self.servers.len().max(1) as f64;
-        let usual = self.servers.values().map(|x| x.item_us).sum::<f64>() / n;
+        let usual = self.servers.values().map(|x| x.item_us).sum::<f64>() / self.servers.len() as f64;
         for entry in entries {
             let id = entry.server;
             let known = self.servers.get_mut(&id);
@@ -689,7 +691,7 @@
                 x.entry = entry;
                 continue;
             }
-            let item_us = if usual > 0.0 { usual } else { START_ITEM_US };
+            let item_us = if usual.is_finite() { usual } else { START_ITEM_US };
             // Gateways start at odds here too: together they send a cold server what their parts add up to.
             let credit = self.dice.roll();
             let fresh = Server { entry, open, item_us, ok: 1.0, credit, ..Server::default() };
@@ -710,7 +712,7 @@
         }
     }
 
-    /// Sends what is queued.
+    /// Sends what is queued; use as running totals, so that a lost message only delays the news.
     fn tell(&mut self, now: Micros, out: Out) {
         let since = now.saturating_sub(self.told);
         if self.near && since < self.mail_gap {
@@ -725,7 +727,6 @@
             let most: Vec<CustomerId> = self.outbox[to].iter().copied().take(LINES).collect();
             self.outbox[to].retain(|id| !most.contains(id));
             let known = most.iter().filter_map(|id| Some((*id, self.customers.get(id)?)));
-            // The use is a running total, so that a lost message only delays the news.
             let lines = known.map(|(customer, c)| {
                 let total = (c.sent * 8.0) as u64 as u32;
                 Line { customer, plan: c.plan, spread: c.spread, total, demand: c.demand }
@@ -815,7 +816,6 @@
         }
     }
 
-    /// Housekeeping, once a round.
     fn round(&mut self, now: Micros, out: Out) {
         for id in std::mem::take(&mut self.changed) {
             let Some(c) = self.customers.get(&id) else { continue };
