--- a/src/api.rs
+++ b/src/api.rs
@@ -11,7 +11,7 @@
     };
 }
 
-id!(/** A client's try, as this gateway's host numbers them. Never used twice. */ RequestId(u64));
+id!(/** A client's try, as this gateway's host numbers them, below 2^63. Never used twice. */ RequestId(u64));
 id!(/** A server; every gateway must use the same number for the same server. */ ServerId(u64));
 id!(/** A customer; every gateway must use the same number for the same customer. */ CustomerId(u64));
 id!(/** A timer, handed back as it was set. */ TimerId(u64));
