--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,180 @@
+//! Whether a file makes sense as a whole; nothing is decided here.
+
+use crate::{Effect, Fault, File};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(crate) struct Checks(pub Vec<Fault>);
+
+impl Checks {
+    pub fn that(&mut self, ok: bool, path: impl Into<String>, reason: impl Into<String>) {
+        if !ok {
+            self.0.push(Fault { path: path.into(), reason: reason.into() });
+        }
+    }
+
+    fn figure(&mut self, value: f64, path: String) {
+        self.that(value.is_finite() && value >= 0.0, path, "is negative or not finite");
+    }
+}
+
+/// All that is wrong between the fields of a file.
+pub(crate) fn check(f: &File) -> Vec<Fault> {
+    let mut c = Checks(vec![]);
+    fleet(&mut c, f);
+    tokens(&mut c, f);
+    for (name, class) in &f.classes {
+        let at = |field: &str| format!("classes.{name}.{field}");
+        c.that(class.aim_ms > 0, at("aim_ms"), "is zero");
+        let patient = class.patience_ms > f.limits.answer_margin_ms;
+        c.that(patient, at("patience_ms"), "is not over limits.answer_margin_ms");
+        c.figure(class.worth, at("worth"));
+        c.figure(class.late_worth, at("late_worth"));
+        if let Effect::Keyed { window_ms, .. } = class.effect {
+            c.that(window_ms > 0, at("effect.window_ms"), "is zero");
+        }
+    }
+    c.that(!f.classes.is_empty(), "classes", "is empty");
+    c.that(!f.plans.is_empty() && f.plans.len() <= 256, "plans", "is empty or longer than 256");
+    for (name, p) in &f.plans {
+        let figures = [
+            ("rate", p.rate),
+            ("burst", p.burst),
+            ("price", p.price),
+            ("over_worth", p.over_worth),
+            ("over_cost", p.over_cost),
+            ("ceiling_rate", p.ceiling_rate),
+            ("ceiling_burst", p.ceiling_burst),
+            ("ceiling_slack", p.ceiling_slack),
+        ];
+        for (field, value) in figures {
+            c.figure(value, format!("plans.{name}.{field}"));
+        }
+        c.that(p.rate > 0.0 || p.open > 0, format!("plans.{name}"), "has neither a rate nor an open quota");
+        c.that(p.rate == 0.0 || p.burst > 0.0, format!("plans.{name}.burst"), "is zero beside a rate");
+    }
+    for (name, insurer) in &f.insurers {
+        let at = |field: &str| format!("insurers.{name}.{field}");
+        let known = f.plans.contains_key(&insurer.plan);
+        c.that(known, at("plan"), format!("names the unknown plan '{}'", insurer.plan));
+        c.that(insurer.first < f.fleet.gateways, at("first"), "is outside the fleet");
+        let spread = insurer.spread.unwrap_or(f.fleet.gateways);
+        c.that(
+            (1..=f.fleet.gateways).contains(&spread),
+            at("spread"),
+            "is not between 1 and the fleet's size",
+        );
+    }
+    routes(&mut c, f);
+    nodes(&mut c, f);
+    let r = &f.rules;
+    c.figure(r.cold_from, "rules.cold_from".into());
+    c.figure(r.fall_multiple, "rules.fall_multiple".into());
+    limits(&mut c, f);
+    c.0
+}
+
+fn fleet(c: &mut Checks, f: &File) {
+    let n = f.fleet.gateways;
+    c.that((1..=65_535).contains(&n), "fleet.gateways", "is not between 1 and 65535");
+    c.that(f.gateway.number < n, "gateway.number", "is outside the fleet");
+    let peers = &f.fleet.peers;
+    c.that(peers.is_empty() || peers.len() == n, "fleet.peers", "does not name every gateway");
+    let distinct: BTreeSet<_> = peers.iter().collect();
+    c.that(distinct.len() == peers.len(), "fleet.peers", "names an address twice");
+    let keyed = peers.is_empty() || f.fleet.peer_secret_file.is_some();
+    c.that(keyed, "fleet.peer_secret_file", "is missing beside fleet.peers");
+    c.figure(f.fleet.peer_in_per_s, "fleet.peer_in_per_s".into());
+    c.that(f.gateway.listen != f.gateway.admin, "gateway.admin", "is the clients' address");
+    c.that(f.gateway.admin.ip().is_loopback(), "gateway.admin", "is not a loopback address");
+}
+
+fn tokens(c: &mut Checks, f: &File) {
+    let i = &f.introspection;
+    c.that(i.address.port() > 0, "introspection.address", "is missing or has port 0");
+    c.that(i.path.starts_with('/'), "introspection.path", "does not start with /");
+    let plain = |s: &str| s.bytes().all(|b| b.is_ascii_graphic());
+    c.that(plain(&i.path) && plain(&i.host), "introspection", "host or path holds blanks or odd bytes");
+    let quoted = |s: &str| s.bytes().all(|b| (b' '..=b'~').contains(&b) && b != b'"' && b != b'\\');
+    c.that(quoted(&i.realm), "introspection.realm", "holds quotes or odd bytes");
+    let member = ["client_id", "username", "sub"].contains(&i.customer.as_str());
+    c.that(member, "introspection.customer", "is not client_id, username or sub");
+    c.that(i.timeout_ms > 0, "introspection.timeout_ms", "is zero");
+    c.that(i.stale_ms >= i.fresh_ms, "introspection.stale_ms", "is under fresh_ms");
+    for (name, value) in [("flights", i.flights), ("waiters", i.waiters), ("entries", i.entries)] {
+        c.that(value > 0, format!("introspection.{name}"), "is zero");
+    }
+}
+
+fn routes(c: &mut Checks, f: &File) {
+    c.that(!f.routes.is_empty(), "routes", "is empty");
+    let mut seen = BTreeMap::new();
+    for (k, route) in f.routes.iter().enumerate() {
+        let at = |field: &str| format!("routes[{k}].{field}");
+        let known = f.classes.contains_key(&route.class);
+        c.that(known, at("class"), format!("names the unknown class '{}'", route.class));
+        c.that(route.units.is_finite() && route.units > 0.0, at("units"), "is not above zero");
+        let method = route.method.bytes().all(|b| b.is_ascii_uppercase()) && !route.method.is_empty();
+        c.that(method, at("method"), "is not a method in capital letters");
+        let sound = route.path.starts_with('/') && route.path.bytes().all(|b| b.is_ascii_graphic());
+        c.that(sound, at("path"), "does not start with / or holds blanks");
+        let rest = route.path.split('/').rev().skip(1).any(|s| s == "**");
+        c.that(!rest, at("path"), "has ** before its last segment");
+        if let Some(first) = seen.insert((&route.method, &route.path), k) {
+            c.that(false, at("path"), format!("stands in routes[{first}] already"));
+        }
+    }
+}
+
+fn nodes(c: &mut Checks, f: &File) {
+    let zones: BTreeSet<_> = f.zones.iter().collect();
+    c.that(!f.zones.is_empty() && zones.len() == f.zones.len(), "zones", "is empty or names one twice");
+    let here = format!("names the unknown zone '{}'", f.gateway.zone);
+    c.that(zones.contains(&f.gateway.zone), "gateway.zone", here);
+    let mut seen = BTreeMap::new();
+    for (k, node) in f.nodes.iter().enumerate() {
+        let at = |field: &str| format!("nodes[{k}].{field}");
+        let known = zones.contains(&node.zone);
+        c.that(known, at("zone"), format!("names the unknown zone '{}'", node.zone));
+        c.that(node.size.is_finite() && node.size > 0.0, at("size"), "is not above zero");
+        c.that(node.address.port() > 0, at("address"), "has port 0");
+        if let Some(first) = seen.insert(node.address, k) {
+            c.that(false, at("address"), format!("is that of nodes[{first}] too"));
+        }
+    }
+}
+
+fn limits(c: &mut Checks, f: &File) {
+    let l = &f.limits;
+    let counts = [
+        ("open", l.open),
+        ("connections", l.connections),
+        ("pipeline", l.pipeline),
+        ("fields", l.fields),
+        ("pool", l.pool),
+        ("attempts", l.attempts as usize),
+    ];
+    for (name, value) in counts {
+        c.that(value > 0, format!("limits.{name}"), "is zero");
+    }
+    c.that(
+        l.line_bytes >= 256 && l.head_bytes >= l.line_bytes,
+        "limits.head_bytes",
+        "is under line_bytes, or that under 256",
+    );
+    for (name, value) in [
+        ("idle_ms", l.idle_ms),
+        ("request_ms", l.request_ms),
+        ("connect_ms", l.connect_ms),
+        ("pool_idle_ms", l.pool_idle_ms),
+        ("drain_ms", l.drain_ms),
+    ] {
+        c.that(value > 0, format!("limits.{name}"), "is zero");
+    }
+    if let Some(path) = &l.probe_path {
+        c.that(
+            path.starts_with('/') && path.bytes().all(|b| b.is_ascii_graphic()),
+            "limits.probe_path",
+            "is no path",
+        );
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,54 @@
-//! stub
+//! Settings: a Jsonnet template, evaluated, read into types and checked as a whole. Every error found is
+//! told with the path of the field at fault; a file with any error changes nothing.
+
+mod check;
+mod file;
+mod loaded;
+mod secret;
+mod template;
+
+pub use file::*;
+pub use loaded::{customer_id, server_id, Insurer, Loaded, Node, Route, Routed};
+pub use secret::Secret;
+pub use template::{evaluate, Evaluated};
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The field, as a path from the file's top, or a place in the template.
+    pub path: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
+/// All that is wrong with a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl std::fmt::Display for Faults {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for fault in &self.0 {
+            writeln!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Reads, evaluates and checks a settings file.
+///
+/// # Errors
+/// Everything that is wrong with it.
+pub fn load(path: &std::path::Path) -> Result<Loaded, Faults> {
+    let evaluated = evaluate(path)?;
+    let file = file::read(&evaluated.value)?;
+    let folder = path.parent().unwrap_or(std::path::Path::new("."));
+    loaded::resolve(file, folder)
+}
--- a/crates/simhost/src/actions.rs
+++ b/crates/simhost/src/actions.rs
@@ -15,7 +15,7 @@
             request.out += 1;
             json!(["send", i, request.text, to, timeout])
         }
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             let text = named(instance, id)?;
             instance.release(*id, 0, true);
             json!(["shed", i, text, retry_after])
--- a/src/api.rs
+++ b/src/api.rs
@@ -362,6 +362,25 @@
     },
 }
 
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// The customer's quota has no units for it.
+    Quota,
+    /// The customer's hard ceiling has no units for it here.
+    Ceiling,
+    /// The back end takes no more from here, or not in time to be of use.
+    Pressed,
+    /// No server may be sent it now.
+    NoServer,
+    /// Its attempts did not serve it, and no further one may go.
+    Tried,
+    /// Its client's time is over.
+    Late,
+    /// It names no known class or plan, or units that make no sense.
+    Unsound,
+}
+
 /// Something for the host to do, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -380,6 +399,8 @@
         id: RequestId,
         /// How long to stay away; 0 gives no advice.
         retry_after: Micros,
+        /// The reason, for the client and the operators.
+        why: Why,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -282,6 +282,9 @@
     launched: Micros,
     life: u32,
     servers: BTreeMap<ServerId, Server>,
+    ready: Vec<ServerId>,        // those the list calls ready, in order
+    warming: Vec<ServerId>,      // of these, the ones that may still be cold
+    ejected: BTreeSet<ServerId>, // the ones ejected of late
     customers: BTreeMap<CustomerId, Customer>,
     probed: Micros,
     requests: BTreeMap<RequestId, Request>,
@@ -422,11 +425,11 @@
         let lack = if p.rate > 0.0 { lack.max(0.0) / (p.rate * c.share(now, news)) } else { 0.0 };
         let pays = p.over_worth > p.over_cost && self.strain < ANSWER_OF_AIM;
         if !inside && !pays {
-            return self.answer(id, (lack * 1e6) as Micros, out);
+            return self.answer(id, (lack * 1e6) as Micros, Why::Quota, out);
         }
         self.requests.entry(id).and_modify(|r| r.inside = inside);
-        if !self.attempt(now, id, out) {
-            self.answer(id, aim / 2, out);
+        if let Err(why) = self.attempt(now, id, out) {
+            self.answer(id, aim / 2, why, out);
         }
     }
 
@@ -434,8 +437,7 @@
     /// gateways, the best of a few drawn: those with the same late reports would else all choose alike.
     fn pick(&mut self, now: Micros, id: RequestId, again: bool) -> Option<(ServerId, f64)> {
         let r = self.requests.get(&id)?;
-        let ready: Vec<ServerId> =
-            self.servers.iter().filter(|(_, x)| x.entry.state == State::Ready).map(|(id, _)| *id).collect();
+        let ready = &self.ready;
         let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
         let looks = (ready.len() * CHOICES).div_ceil(self.settings.gateways).max(CHOICES);
         let many = looks < ready.len();
@@ -444,14 +446,17 @@
             (0..draws).map(|_| (self.dice.roll() * ready.len() as f64) as usize).collect();
         if many {
             // With the last heard of, and cold ones whose part allows a request.
-            let due = |x: &Server| x.credit >= 1.0 && x.ramp(now, &self.settings.rules) < 1.0;
-            let cold = (0..ready.len()).filter(|k| due(&self.servers[&ready[*k]]));
+            let (servers, rules) = (&self.servers, &self.settings.rules);
+            self.warming.retain(|id| servers[id].ramp(now, rules) < 1.0);
+            let due = self.warming.iter().filter(|id| servers[id].credit >= 1.0);
+            let cold = due.filter_map(|id| ready.binary_search(id).ok());
             let heard = self.recent.iter().filter_map(|x| ready.binary_search(x).ok());
             order.splice(looks..looks, heard.chain(cold));
         }
         let looks = looks + order.len() - draws;
         let (s, r) = (&self.settings, self.requests.get(&id)?);
-        let out = ready.iter().filter(|x| self.servers[x].ejected > now).count() as f64;
+        let known = self.ejected.iter().filter_map(|id| self.servers.get(id));
+        let out = known.filter(|x| x.ejected > now && x.entry.state == State::Ready).count() as f64;
         let trust = out <= EJECT_SHARE * ready.len() as f64;
         let ran = r.attempts.iter().find(|a| a.may_have_run || a.open);
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|x| (x.entry.zone, x.entry.cell));
@@ -499,7 +504,7 @@
     fn pressed(&mut self, now: Micros, worth: f64) -> bool {
         self.tally(now);
         let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
-        let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
+        let ready = self.ready.len() as f64;
         let slow = (ANSWER_OF_AIM / self.strain.max(1e-9)).min(1.0);
         let floor = slow * FLOOR_HELD * ready / self.settings.gateways as f64;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S));
@@ -517,9 +522,9 @@
         self.out_at = now;
     }
 
-    /// The only place that sends. False if no attempt may go now.
-    fn attempt(&mut self, now: Micros, id: RequestId, out: Out) -> bool {
-        let (s, Some(r)) = (&self.settings, self.requests.get(&id)) else { return false };
+    /// The only place that sends; or why no attempt may go now.
+    fn attempt(&mut self, now: Micros, id: RequestId, out: Out) -> Result<(), Why> {
+        let (s, Some(r)) = (&self.settings, self.requests.get(&id)) else { return Err(Why::Unsound) };
         let (class, plan, first) = (&s.classes[r.class], &s.plans[r.plan], r.attempts.is_empty());
         let ran = r.attempts.iter().find(|a| a.may_have_run);
         let allowed = match class.effect {
@@ -529,26 +534,26 @@
         };
         let out_now = r.attempts.iter().any(|a| a.open);
         if r.done || r.started || out_now || !allowed || now >= r.deadline {
-            return false;
+            return Err(if now >= r.deadline { Why::Late } else { Why::Tried });
         }
         let cost = if ran.is_some() { 1.0 } else { UNSEEN_RETRY };
         if r.attempts.len() >= s.allow.max_attempts as usize || !first && self.retries < cost {
-            return false;
+            return Err(Why::Tried);
         }
         let left = (r.arrived + class.aim).saturating_sub(now + r.waited) as f64;
         let most = if first { class.aim as f64 } else { left };
         let full_worth = class.worth * plan.price * if r.inside { 1.0 } else { plan.over_worth };
         let late = full_worth * class.late_worth;
-        let Some((server, wait)) = self.pick(now, id, !first) else { return false };
+        let (server, wait) = self.pick(now, id, !first).ok_or(Why::NoServer)?;
         if wait > most || self.pressed(now, if left < wait { late } else { full_worth }) {
-            return false;
+            return Err(Why::Pressed);
         }
-        let Some(r) = self.requests.get_mut(&id) else { return false };
+        let r = self.requests.get_mut(&id).ok_or(Why::Unsound)?;
         if first {
             let (units, customer) = (r.units, r.customer);
-            let Some(c) = self.customers.get_mut(&customer) else { return false };
+            let c = self.customers.get_mut(&customer).ok_or(Why::Unsound)?;
             if c.terms.ceiling_rate > 0.0 && c.slice < units {
-                return false;
+                return Err(Why::Ceiling);
             }
             c.slice -= units;
             if r.inside {
@@ -573,11 +578,11 @@
             r.attempts.push(Attempt { server, sent: now, open: true, may_have_run: false, held });
             out.push(Action::Send { id, server, timeout });
         }
-        true
+        Ok(())
     }
 
     /// The only place that gives a final answer; a refusal only where trying again does no harm.
-    fn answer(&mut self, id: RequestId, wait: Micros, out: Out) {
+    fn answer(&mut self, id: RequestId, wait: Micros, why: Why, out: Out) {
         let s = &self.settings;
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done && !r.started) else { return };
         let ran = r.attempts.iter().any(|a| a.may_have_run || a.open);
@@ -587,7 +592,7 @@
         };
         out.push(if harmless {
             let advice = if s.allow.retry_after { wait.min(s.allow.max_retry_after) } else { 0 };
-            Action::Refuse { id, retry_after: advice }
+            Action::Refuse { id, retry_after: advice, why }
         } else {
             Action::Fail { id }
         });
@@ -657,12 +662,15 @@
                 Status::Timeout | Status::Cancelled if late => x.judge(now, false, false),
                 _ => {}
             }
+            if x.ejected > now {
+                self.ejected.insert(server);
+            }
         }
         if closed || done {
             return self.close(id);
         }
-        if !self.attempt(now, id, out) {
-            self.answer(id, FULL.0, out);
+        if let Err(why) = self.attempt(now, id, out) {
+            self.answer(id, FULL.0, why, out);
         }
     }
 
@@ -719,6 +727,9 @@
             self.servers.insert(id, Server { judged: now, ..fresh });
         }
         self.servers.retain(|_, x| x.entry.state != State::Gone || x.open > 0);
+        let ready = self.servers.iter().filter(|(_, x)| x.entry.state == State::Ready);
+        self.ready = ready.map(|(id, _)| *id).collect();
+        self.warming = self.ready.clone();
     }
 
     /// Queues news of a customer for its gateways; among many, as our own requests pay for it.
@@ -866,7 +877,9 @@
             }
         }
         self.tell(now, out);
-        let warm = self.servers.values().filter(|x| x.entry.state == State::Ready).count().max(1) as f64;
+        let warm = self.ready.len().max(1) as f64;
+        let servers = &self.servers;
+        self.ejected.retain(|id| servers.get(id).is_some_and(|x| x.ejected > now));
         let (sends, rules) = (self.sends.get(now, MEMORY_S), &self.settings.rules);
         for x in self.servers.values_mut() {
             let part = COLD_SAFETY * rules.fall_multiple * x.ramp(now, rules) * sends / warm;
@@ -902,7 +915,8 @@
                     return;
                 }
                 if !sane || patience <= margin {
-                    return out.push(Action::Refuse { id, retry_after: 0 });
+                    let why = if sane { Why::Late } else { Why::Unsound };
+                    return out.push(Action::Refuse { id, retry_after: 0, why });
                 }
                 self.customer(now, customer, plan, spread, first);
                 let deadline = now.saturating_add(patience - margin);
@@ -926,7 +940,7 @@
             // A request's timers bear its number twice: even at its deadline, odd at the end of its hold.
             Event::Timer { timer: TURN } => self.round(now, out),
             Event::Timer { timer: TimerId(k) } => match self.requests.get(&RequestId(k >> 1)) {
-                Some(_) if k & 1 == 0 => self.answer(RequestId(k >> 1), 0, out),
+                Some(_) if k & 1 == 0 => self.answer(RequestId(k >> 1), 0, Why::Late, out),
                 Some(r) if r.held => self.leave(now, RequestId(k >> 1), out),
                 _ => {}
             },
