--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,66 @@
-fn main() {}
+//! The `frostgauge` command: check settings, look at gateways, see the whole thing run.
+
+mod demo;
+mod status;
+
+use clap::{Parser, Subcommand};
+use frostgauge_rig::roles;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Manages gateways that hold insurers to their quotas.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check a settings file: exit code 0 if a gateway would take it, 2 with every fault if not.
+    Check {
+        /// The settings, a Jsonnet file.
+        file: PathBuf,
+    },
+    /// Show how a gateway stands, from its admin address.
+    Status {
+        /// The gateway's admin address.
+        #[arg(long)]
+        admin: SocketAddr,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Play a frost night, all on this machine: gateways, introspection server, claims nodes, tablets.
+    Demo {
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keep settings, ledgers and logs in this folder, which must not exist or be empty.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    #[command(flatten)]
+    Role(roles::Role),
+}
+
+fn main() -> ExitCode {
+    match Options::parse().command {
+        Command::Role(role) => ExitCode::from(roles::play(&role)),
+        Command::Check { file } => match frostgauge_settings::load(&file) {
+            Ok(loaded) => {
+                let (nodes, insurers) = (loaded.nodes.len(), loaded.insurers.len());
+                println!("{}: good; {nodes} nodes, {insurers} insurers", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(faults) => {
+                eprint!("{}: not usable:\n{faults}", file.display());
+                ExitCode::from(2)
+            }
+        },
+        Command::Status { admin, json } => status::show(admin, json),
+        Command::Demo { seed, out } => demo::play(seed, out),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/status.rs
@@ -0,0 +1,72 @@
+//! `frostgauge status`.
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A gateway that does not answer its staff by then is reported as silent.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Prints how a gateway stands; exit code 1 if it does not answer.
+pub(crate) fn show(admin: SocketAddr, json: bool) -> ExitCode {
+    let page = futures_lite::future::block_on(frostgauge_gateway::admin::fetch(admin, "/status", PATIENCE));
+    match page.and_then(|text| serde_json::from_str::<Value>(&text).map_err(|e| format!("{admin}: {e}"))) {
+        Ok(status) => {
+            print!("{}", if json { format!("{status:#}\n") } else { table(&status) });
+            ExitCode::SUCCESS
+        }
+        Err(reason) => {
+            eprintln!("{reason}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+/// The figures that staff look at first.
+fn table(status: &Value) -> String {
+    let at = |path: &str| match status.pointer(path) {
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+        None => "-".to_owned(),
+    };
+    let mut out = format!(
+        "gateway {} (pid {}), up {} s, reloads {}\nopen {}, attempts out {}, longest batch {} ms\n",
+        at("/gateway"),
+        at("/pid"),
+        at("/up_s"),
+        at("/reloads"),
+        at("/open"),
+        at("/attempts"),
+        at("/longest_batch_ms"),
+    );
+    out += &format!(
+        "taken {}: served {}, refused {}, failed {}, denied {}, left {}\n",
+        at("/answers/taken"),
+        at("/answers/served"),
+        at("/answers/refused"),
+        at("/answers/failed"),
+        at("/answers/denied"),
+        at("/answers/left"),
+    );
+    out += &format!(
+        "tokens: server {}, waiting {}, asked {}, failed {}, stale {}, without a verdict {}\n",
+        at("/tokens/server"),
+        at("/tokens/waiting"),
+        at("/tokens/asked"),
+        at("/tokens/failed"),
+        at("/tokens/stale"),
+        at("/tokens/unavailable"),
+    );
+    for (reason, n) in status["reasons"].as_object().into_iter().flatten() {
+        out += &format!("  {reason:<18}{n}\n");
+    }
+    for (kind, row) in status["latency_ms"].as_object().into_iter().flatten() {
+        out += &format!("  {kind:<10}p50 {} ms, p99 {} ms\n", row["p50"], row["p99"]);
+    }
+    for node in status["nodes"].as_array().into_iter().flatten() {
+        let word = |name: &str| node[name].as_str().unwrap_or("-").to_owned();
+        out += &format!("  node {:<22}{:<14}{}\n", word("address"), word("zone"), word("state"));
+    }
+    out
+}
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,460 @@
+//! What the gateway decides, without sockets and clock: events in with the time, commands out.
+//!
+//! A request's way: [`Input::Call`] → `identity` (a verdict, or none) → its insurer → the library's
+//! `Event::Request` → [`Command::Send`] → [`Input::AttemptEnded`] → [`Command::Deliver`] or
+//! [`Command::Answer`]. Each call gets exactly one of the last two, unless its client leaves first.
+//!
+//! A revoked token, as learnt by any question about it: what has not been sent is not sent any more and is
+//! answered 401; what was sent runs on and its answer is delivered, since calling it off would not undo it.
+
+use crate::clock::Micros;
+use crate::reply::{Failed, Final};
+use crate::timers::Timers;
+use frostgauge::{Action, Entry, Event, Gateway, ListKind, Load, RequestId, ServerId, Status, Why};
+use frostgauge_identity::{Answer, Grant, Identity, Outcome, Step, TokenName};
+use frostgauge_proto::bearer::Denied;
+use frostgauge_settings::{Insurer, Loaded};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// A call, as the core knows it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Its number; never used twice.
+    pub ticket: u64,
+    /// Its token's name.
+    pub token: TokenName,
+    /// Index of its class.
+    pub class: usize,
+    /// Units it draws.
+    pub units: f64,
+    /// The scope its token must have, or nothing.
+    pub scope: Arc<str>,
+    /// When it was whole.
+    pub arrived: Micros,
+    /// How long its client waits, counted from then.
+    pub patience: Micros,
+    /// Its client marked it as a repeat.
+    pub repeat: bool,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request is whole.
+    Call(Ask),
+    /// Its client left.
+    Left {
+        /// Which.
+        ticket: u64,
+    },
+    /// A question about a token is answered, or failed.
+    Introspected {
+        /// Which.
+        flight: u64,
+        /// The answer.
+        answer: Option<Answer>,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        ticket: u64,
+        /// Its attempt, from 0.
+        attempt: u32,
+        /// Where it went.
+        server: ServerId,
+        /// How it ended.
+        status: Status,
+        /// Time since it was sent.
+        took: Micros,
+        /// The insurer's use of its rate, as the answer told it.
+        used: Option<f64>,
+        /// The load that the answer told of.
+        load: Option<Load>,
+    },
+    /// What a probe found.
+    Probed {
+        /// The node.
+        server: ServerId,
+        /// How it ended.
+        status: Status,
+        /// The load it told of.
+        load: Option<Load>,
+    },
+    /// A message of another gateway.
+    Peer {
+        /// Its number.
+        from: usize,
+        /// The message.
+        data: Vec<u8>,
+    },
+}
+
+/// Something to do, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Ask the introspection server, and hand in `Introspected` exactly once.
+    Introspect {
+        /// The question's number.
+        flight: u64,
+        /// The token's name.
+        token: TokenName,
+        /// How long to wait.
+        timeout: Micros,
+    },
+    /// Start an attempt, and hand in `AttemptEnded` exactly once.
+    Send {
+        /// The request.
+        ticket: u64,
+        /// Its attempt.
+        attempt: u32,
+        /// Where to.
+        server: ServerId,
+        /// Its time-out.
+        timeout: Micros,
+        /// Whose request it is.
+        grant: Arc<Grant>,
+    },
+    /// Stop waiting for an attempt; it still ends.
+    Cancel {
+        /// The request.
+        ticket: u64,
+        /// Its attempt.
+        attempt: u32,
+    },
+    /// Final answer: what this attempt brought.
+    Deliver {
+        /// The request.
+        ticket: u64,
+        /// Its attempt.
+        attempt: u32,
+    },
+    /// Final answer: the gateway's own.
+    Answer {
+        /// The request.
+        ticket: u64,
+        /// What to say.
+        answer: Final,
+    },
+    /// Probe a node.
+    Probe {
+        /// Which.
+        server: ServerId,
+    },
+    /// Send a message to another gateway.
+    Tell {
+        /// Its number.
+        to: usize,
+        /// The message.
+        data: Vec<u8>,
+    },
+    /// A line for the log.
+    Log(String),
+}
+
+/// Where an open request stands.
+#[derive(Debug)]
+enum Stage {
+    /// Its token is being checked.
+    Checking,
+    /// The library has it.
+    Entered(Arc<Grant>),
+}
+
+#[derive(Debug)]
+struct Open {
+    ask: Ask,
+    stage: Stage,
+    attempts: u32,
+    last: Option<Status>,
+}
+
+/// Counts for the operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Calls taken.
+    pub taken: u64,
+    /// Answered with a node's answer.
+    pub served: u64,
+    /// Refused; trying again does no harm.
+    pub refused: u64,
+    /// Failed; nothing is promised.
+    pub failed: u64,
+    /// Turned away for their token: 401, 403.
+    pub denied: u64,
+    /// Their client left first.
+    pub left: u64,
+}
+
+/// The decisions of one gateway with all that they go by.
+pub struct Core {
+    library: Gateway,
+    identity: Identity,
+    timers: Timers,
+    open: BTreeMap<u64, Open>,
+    insurers: Arc<BTreeMap<String, Insurer>>,
+    counts: Counts,
+    margin: Micros,
+    most_open: usize,
+    actions: Vec<Action>,
+    steps: Vec<Step>,
+}
+
+/// What `identity` goes by, from the settings.
+fn identity_config(loaded: &Loaded) -> frostgauge_identity::Config {
+    const MS: Micros = 1_000;
+    let i = loaded.introspection();
+    frostgauge_identity::Config {
+        fresh: i.fresh_ms * MS,
+        stale: i.stale_ms * MS,
+        negative: i.negative_ms * MS,
+        timeout: i.timeout_ms * MS,
+        flights: i.flights,
+        waiters: i.waiters,
+        entries: i.entries,
+    }
+}
+
+impl Core {
+    /// A core that starts now.
+    ///
+    /// # Errors
+    /// Settings that the library does not take.
+    pub fn new(loaded: &Loaded, seed: u64, now: Micros) -> Result<Core, frostgauge::SettingsError> {
+        let mut core = Core {
+            library: Gateway::new(loaded.library.clone(), seed, now)?,
+            identity: Identity::new(identity_config(loaded), seed),
+            timers: Timers::default(),
+            open: BTreeMap::new(),
+            insurers: Arc::default(),
+            counts: Counts::default(),
+            margin: 0,
+            most_open: 0,
+            actions: Vec::new(),
+            steps: Vec::new(),
+        };
+        core.configure(now, loaded, &mut Vec::new());
+        Ok(core)
+    }
+
+    /// Takes settings that [`Loaded::needs_restart`] lets in while it runs.
+    pub fn configure(&mut self, now: Micros, loaded: &Loaded, out: &mut Vec<Command>) {
+        self.insurers = Arc::new(loaded.insurers.clone());
+        self.margin = loaded.file.limits.answer_margin_ms * 1_000;
+        self.most_open = loaded.file.limits.open;
+        self.identity.configure(identity_config(loaded));
+        self.servers(now, loaded.entries(), out);
+    }
+
+    /// Takes a whole list of nodes.
+    pub fn servers(&mut self, now: Micros, entries: Vec<Entry>, out: &mut Vec<Command>) {
+        self.decide(now, Event::Servers { kind: ListKind::Full, entries }, out);
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The decisions about tokens, to look at.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Requests open.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// When [`Core::advance`] is next needed.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.timers.next().into_iter().chain(self.identity.next_wake()).min()
+    }
+
+    /// Takes one input. Within a batch, hand in all that has happened before [`Core::advance`]: after a
+    /// stall the answers that came in time must be seen before the deadlines that passed meanwhile.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::Call(ask) => self.call(now, ask, out),
+            Input::Left { ticket } => self.left(now, ticket, out),
+            Input::Introspected { flight, answer } => {
+                let mut steps = std::mem::take(&mut self.steps);
+                self.identity.answered(now, flight, answer, &mut steps);
+                self.carry_out(now, steps, out);
+            }
+            Input::AttemptEnded { ticket, attempt, server, status, took, used, load } => {
+                let id = RequestId(ticket);
+                let serves = status == Status::Ok;
+                let open = self.open.get_mut(&ticket);
+                let closed = open.is_none() || serves;
+                if let Some(open) = open {
+                    open.last = Some(status);
+                    if serves {
+                        self.open.remove(&ticket);
+                        self.counts.served += 1;
+                        out.push(Command::Deliver { ticket, attempt });
+                    }
+                }
+                let settled = None;
+                let event = Event::Outcome { id, attempt, server, status, took, closed, used, settled, load };
+                self.decide(now, event, out);
+            }
+            Input::Probed { server, status, load } => {
+                self.decide(now, Event::Probed { server, status, load }, out);
+            }
+            Input::Peer { from, data } => self.decide(now, Event::Peer { from, data }, out),
+        }
+    }
+
+    /// Time has passed: fires what is due.
+    pub fn advance(&mut self, now: Micros, out: &mut Vec<Command>) {
+        if self.identity.next_wake().is_some_and(|at| at <= now) {
+            let mut steps = std::mem::take(&mut self.steps);
+            self.identity.tick(now, &mut steps);
+            self.carry_out(now, steps, out);
+        }
+        while let Some(timer) = self.timers.due(now) {
+            self.decide(now, Event::Timer { timer }, out);
+        }
+    }
+
+    fn call(&mut self, now: Micros, ask: Ask, out: &mut Vec<Command>) {
+        self.counts.taken += 1;
+        let (ticket, token) = (ask.ticket, ask.token);
+        // What it waited for its turn here, and the way back, come off its client's patience.
+        let gone = now.saturating_sub(ask.arrived) + self.margin;
+        let patience = ask.patience.saturating_sub(gone);
+        let full = self.open.len() >= self.most_open;
+        self.open.insert(ticket, Open { ask, stage: Stage::Checking, attempts: 0, last: None });
+        if patience == 0 || full {
+            let why = if full { Why::Pressed } else { Why::Late };
+            return self.answer(ticket, Final::Refused { why, retry_after: 0 }, out);
+        }
+        let mut steps = std::mem::take(&mut self.steps);
+        self.identity.enter(now, ticket, token, patience, &mut steps);
+        self.carry_out(now, steps, out);
+    }
+
+    fn left(&mut self, now: Micros, ticket: u64, out: &mut Vec<Command>) {
+        let Some(open) = self.open.remove(&ticket) else { return };
+        self.counts.left += 1;
+        match open.stage {
+            Stage::Checking => self.identity.left(ticket),
+            Stage::Entered(_) => self.decide(now, Event::Gone { id: RequestId(ticket) }, out),
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, answer: Final, out: &mut Vec<Command>) {
+        if self.open.remove(&ticket).is_none() {
+            return;
+        }
+        match answer {
+            Final::Denied(_) | Final::UnknownInsurer => self.counts.denied += 1,
+            Final::NoVerdict { .. } | Final::Refused { .. } => self.counts.refused += 1,
+            Final::Failed(_) => self.counts.failed += 1,
+        }
+        out.push(Command::Answer { ticket, answer });
+    }
+
+    /// Carries out what `identity` decided.
+    fn carry_out(&mut self, now: Micros, mut steps: Vec<Step>, out: &mut Vec<Command>) {
+        for step in steps.drain(..) {
+            match step {
+                Step::Ask { flight, token, timeout } => {
+                    out.push(Command::Introspect { flight, token, timeout });
+                }
+                Step::Release { waiter, outcome } => match outcome {
+                    Outcome::Granted(grant) => self.enter(now, waiter, grant, out),
+                    Outcome::Denied => self.answer(waiter, Final::Denied(Denied::Invalid), out),
+                    Outcome::Unavailable { retry_after } => {
+                        self.answer(waiter, Final::NoVerdict { retry_after }, out);
+                    }
+                },
+                Step::Revoked { token } => self.revoked(now, token, out),
+            }
+        }
+        self.steps = steps;
+    }
+
+    /// A request with a good token goes on to the library.
+    fn enter(&mut self, now: Micros, ticket: u64, grant: Arc<Grant>, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let ask = &open.ask;
+        if !ask.scope.is_empty() && !grant.scopes.iter().any(|s| **s == *ask.scope) {
+            return self.answer(ticket, Final::Denied(Denied::Scope), out);
+        }
+        let Some(insurer) = self.insurers.get(&grant.subject).copied() else {
+            return self.answer(ticket, Final::UnknownInsurer, out);
+        };
+        let gone = now.saturating_sub(ask.arrived) + self.margin;
+        let event = Event::Request {
+            id: RequestId(ticket),
+            class: ask.class,
+            plan: insurer.plan,
+            customer: insurer.id,
+            patience: ask.patience.saturating_sub(gone),
+            units: ask.units,
+            spread: insurer.spread,
+            first: insurer.first,
+            repeat: ask.repeat,
+        };
+        open.stage = Stage::Entered(grant);
+        self.decide(now, event, out);
+    }
+
+    /// What entered with this token and was never sent is taken back. Guards against a hold that outlives
+    /// the token.
+    fn revoked(&mut self, now: Micros, token: TokenName, out: &mut Vec<Command>) {
+        let unsent =
+            |o: &Open| o.ask.token == token && o.attempts == 0 && matches!(o.stage, Stage::Entered(_));
+        let held: Vec<u64> = self.open.iter().filter(|(_, o)| unsent(o)).map(|(t, _)| *t).collect();
+        for ticket in held {
+            self.answer(ticket, Final::Denied(Denied::Invalid), out);
+            self.decide(now, Event::Gone { id: RequestId(ticket) }, out);
+        }
+    }
+
+    /// Hands an event to the library and turns its actions into commands.
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            self.library.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { id, server, timeout } => {
+                        let Some(open) = self.open.get_mut(&id.0) else { continue };
+                        let Stage::Entered(grant) = &open.stage else { continue };
+                        let (attempt, grant) = (open.attempts, grant.clone());
+                        open.attempts += 1;
+                        out.push(Command::Send { ticket: id.0, attempt, server, timeout, grant });
+                    }
+                    Action::Refuse { id, retry_after, why } => {
+                        self.answer(id.0, Final::Refused { why, retry_after }, out);
+                    }
+                    Action::Fail { id } => {
+                        let last = self.open.get(&id.0).and_then(|o| o.last);
+                        let failed = match last {
+                            Some(Status::Error) => Failed::Node,
+                            Some(Status::Reset) => Failed::Broken,
+                            _ => Failed::Timeout,
+                        };
+                        self.answer(id.0, Final::Failed(failed), out);
+                    }
+                    Action::Cancel { id, attempt } => out.push(Command::Cancel { ticket: id.0, attempt }),
+                    Action::Timer { at, timer } => self.timers.set(at, timer),
+                    Action::Probe { server } => out.push(Command::Probe { server }),
+                    Action::Tell { to, data } => out.push(Command::Tell { to, data }),
+                    // The counter does not exist yet: its calls are turned away, nothing is added.
+                    Action::Count { counter, .. } => {
+                        events.push_back(Event::Counted { counter, total: None, unsure: false, took: 0 });
+                    }
+                    // The list comes by reload; there is nothing to subscribe to.
+                    Action::Watch => {}
+                    Action::Log { text } => out.push(Command::Log(text)),
+                }
+            }
+        }
+        self.actions = actions;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/request.rs
@@ -0,0 +1,77 @@
+//! From a request to a call: route, token, patience.
+
+use crate::clock::Micros;
+use crate::engine::Handle;
+use crate::reply::{Final, Own};
+use frostgauge_proto::bearer::{token_of, Token};
+use frostgauge_proto::http::Head;
+use frostgauge_settings::{Loaded, Routed};
+
+/// The request field in which a client names its patience, milliseconds.
+pub(crate) const PATIENCE: &str = "request-timeout-ms";
+/// The request field by which a client marks a repeat of an earlier try.
+pub(crate) const REPEAT: &str = "frostgauge-repeat";
+/// The request field that names a keyed request.
+const KEY: &str = "idempotency-key";
+
+/// What the head alone says of a request.
+pub(crate) struct Parsed {
+    pub route: usize,
+    pub token: Token,
+    pub patience: Micros,
+    pub repeat: bool,
+    pub target: String,
+}
+
+/// Path and query of a target in origin form or, from clients that take this for a proxy, absolute form.
+/// Paths that a node could resolve to another route are refused.
+fn path_of(target: &str) -> Option<&str> {
+    let target = match target.strip_prefix("http://") {
+        Some(rest) => &rest[rest.find('/')?..],
+        None => target,
+    };
+    let path = target.split('?').next().unwrap_or("");
+    let dots = |s: &str| {
+        let s = s.to_ascii_lowercase().replace("%2e", ".");
+        s == "." || s == ".."
+    };
+    let odd = path.to_ascii_lowercase().contains("%2f") || path.contains(['\\', '#']);
+    (path.starts_with('/') && !odd && !path.split('/').any(dots)).then_some(target)
+}
+
+/// Reads what the head says, or the answer that turns it away.
+pub(crate) fn parse(loaded: &Loaded, head: &Head) -> Result<Parsed, Own> {
+    let bad = |kind: &str, title: &str| Own::problem(400, kind, title, "");
+    let target = path_of(head.target()).ok_or_else(|| bad("target", "The request target is not usable"))?;
+    let path = target.split('?').next().unwrap_or("");
+    let (route, found) = match loaded.route(head.method(), path) {
+        Routed::To(k, route) => (k, route),
+        Routed::Method(known) => {
+            let mut own = Own::problem(405, "method", "The path is known, the method is not", "");
+            own.fields.push(("allow", known.join(", ")));
+            return Err(own);
+        }
+        Routed::Nowhere => return Err(Own::problem(404, "route", "No route leads there", "")),
+    };
+    let realm = &loaded.introspection().realm;
+    let token = token_of(head).map_err(|denied| Final::Denied(denied).http(realm, &found.scope))?;
+    if found.keyed && head.one(KEY).is_none_or(|k| k.is_empty() || k.len() > 256) {
+        return Err(bad("key", "This route asks for one Idempotency-Key of 1 to 256 bytes"));
+    }
+    let most = loaded.library.classes[found.class].deadline;
+    let patience = match head.all(PATIENCE).next() {
+        None => most,
+        Some(_) => {
+            let ms = head.one(PATIENCE).and_then(|v| v.parse::<u64>().ok());
+            let ms = ms.ok_or_else(|| bad("patience", "Request-Timeout-Ms is no whole number"))?;
+            ms.saturating_mul(1_000).min(most)
+        }
+    };
+    let repeat = head.one(REPEAT).is_some_and(|v| v == "1");
+    Ok(Parsed { route, token, patience, repeat, target: target.to_owned() })
+}
+
+/// The settings as they are, for one request.
+pub(crate) fn settings(handle: &Handle) -> std::sync::Arc<Loaded> {
+    handle.loaded()
+}
--- /dev/null
+++ b/crates/gateway/src/observe.rs
@@ -0,0 +1,48 @@
+//! What operators can see: counts by reason, latencies, sizes.
+
+use crate::clock::Micros;
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// Longest latency told apart, µs: over any client's patience.
+const LONGEST: u64 = 120_000_000;
+
+/// Answers by kind and reason, with latencies.
+#[derive(Debug, Default)]
+pub struct Observed {
+    kinds: BTreeMap<&'static str, Histogram<u64>>,
+    reasons: BTreeMap<&'static str, u64>,
+}
+
+impl Observed {
+    /// One final answer: its kind (`served`, `refused`, `failed`, `denied`), its reason, its latency.
+    pub fn answer(&mut self, kind: &'static str, reason: &'static str, took: Micros) {
+        metrics::counter!("frostgauge_answers", "kind" => kind, "reason" => reason).increment(1);
+        metrics::histogram!("frostgauge_answer_seconds", "kind" => kind).record(took as f64 / 1e6);
+        *self.reasons.entry(reason).or_default() += 1;
+        if !self.kinds.contains_key(kind) {
+            if let Ok(new) = Histogram::new_with_bounds(1, LONGEST, 3) {
+                self.kinds.insert(kind, new);
+            }
+        }
+        if let Some(histogram) = self.kinds.get_mut(kind) {
+            histogram.saturating_record(took.max(1));
+        }
+    }
+
+    /// Counts by reason.
+    pub fn reasons(&self) -> Value {
+        json!(self.reasons)
+    }
+
+    /// Latencies by kind, milliseconds.
+    pub fn latencies(&self) -> Value {
+        let ms = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1e3;
+        let rows = self.kinds.iter().map(|(kind, h)| {
+            let row = json!({ "count": h.len(), "p50": ms(h, 0.5), "p99": ms(h, 0.99), "max": h.max() as f64 / 1e3 });
+            ((*kind).to_owned(), row)
+        });
+        Value::Object(rows.collect())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/mod.rs
@@ -0,0 +1,5 @@
+//! Attempts at nodes and probes of them.
+
+mod attempt;
+
+pub use attempt::{attempt, probe, Ended, Forward, NOT_RUN};
--- a/crates/identity/src/breaker.rs
+++ b/crates/identity/src/breaker.rs
@@ -4,8 +4,9 @@
 
 /// Failures in a row that open it: fewer would open it at one lost connection with some questions out.
 const TRIP: u32 = 5;
-/// First time that it stays open, and how often that doubles, to 8 s: short beside a verdict's stale life.
-const OPEN: (Micros, u32) = (500_000, 4);
+/// First time that it stays open, and how often that doubles, to 2 s: for so long after the server's return a
+/// revocation may go unheeded, and one question in 2 s from each gateway is no load.
+const OPEN: (Micros, u32) = (500_000, 2);
 
 /// Closed (questions go), open (none go) or half open (one at a time goes, as a trial).
 #[derive(Clone, Debug, Default)]
--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -203,6 +203,11 @@
         (self.waiting.len(), self.flights.len(), self.cache.len())
     }
 
+    /// Whether a question about this token is out or queued.
+    pub fn waits_for(&self, token: &TokenName) -> bool {
+        self.pending.contains_key(token)
+    }
+
     /// When [`Identity::tick`] is next needed.
     pub fn next_wake(&self) -> Option<Micros> {
         self.deadlines.first().map(|d| d.0)
--- /dev/null
+++ b/crates/net/src/exchange.rs
@@ -0,0 +1,141 @@
+//! One request and its response, and what is proven when there is none.
+
+use crate::Pool;
+use crate::{exhausted, read_some, until, Timed};
+use async_io::Async;
+use frostgauge_proto::http::{BodyReader, Framing, Head, HeadReader, Limits};
+use futures_lite::AsyncWriteExt;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Its head.
+    pub head: Head,
+    /// Its content.
+    pub body: Vec<u8>,
+}
+
+/// How an exchange ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// With a response.
+    Answered(Box<Response>),
+    /// No connection stood in time, or it was refused: not a byte was written.
+    NotConnected,
+    /// Nothing was written, for want of time or of this machine's own means.
+    NotTried,
+    /// It broke after a byte was written, or brought what is no response: it may have run.
+    Broken,
+    /// No whole response in time, with a byte written: it may have run.
+    TimedOut,
+}
+
+/// Sends a request and reads its response, on an idle connection or a new one.
+pub async fn exchange(
+    pool: &Pool,
+    to: SocketAddr,
+    request: &[u8],
+    to_head: bool,
+    limits: &Limits,
+    connect: Duration,
+    deadline: Instant,
+) -> End {
+    if let Some(stream) = pool.take(to) {
+        let mut written = 0;
+        match until(deadline, talk(&stream, request, to_head, limits, &mut written)).await {
+            Timed::Done(Ok((response, keep))) => {
+                if keep {
+                    pool.put(to, stream);
+                }
+                return End::Answered(Box::new(response));
+            }
+            Timed::Done(Err(_)) if written > 0 => return End::Broken,
+            Timed::Late if written > 0 => return End::TimedOut,
+            Timed::Late => return End::NotTried,
+            // It was closed before a byte of this went out: nothing ran, a new connection may carry it.
+            Timed::Done(Err(_)) => {}
+        }
+    }
+    let limit = deadline.min(Instant::now() + connect);
+    let stream = match until(limit, Async::<TcpStream>::connect(to)).await {
+        Timed::Done(Ok(stream)) => stream,
+        Timed::Done(Err(e)) if exhausted(&e) => return End::NotTried,
+        Timed::Done(Err(_)) => return End::NotConnected,
+        // The client's time ran out first: that says nothing of the node.
+        Timed::Late if limit == deadline => return End::NotTried,
+        Timed::Late => return End::NotConnected,
+    };
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut written = 0;
+    match until(deadline, talk(&stream, request, to_head, limits, &mut written)).await {
+        Timed::Done(Ok((response, keep))) => {
+            if keep {
+                pool.put(to, stream);
+            }
+            End::Answered(Box::new(response))
+        }
+        Timed::Done(Err(_)) if written == 0 => End::NotConnected,
+        Timed::Done(Err(_)) => End::Broken,
+        Timed::Late if written == 0 => End::NotTried,
+        Timed::Late => End::TimedOut,
+    }
+}
+
+/// Writes the request, counting bytes, and reads the response; and whether the connection may go on.
+async fn talk(
+    mut stream: &Async<TcpStream>,
+    request: &[u8],
+    to_head: bool,
+    limits: &Limits,
+    written: &mut usize,
+) -> io::Result<(Response, bool)> {
+    let bad = |e| io::Error::new(io::ErrorKind::InvalidData, e);
+    while *written < request.len() {
+        match stream.write(&request[*written..]).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            n => *written += n,
+        }
+    }
+    let mut buf = Vec::new();
+    let head = loop {
+        let mut reader = HeadReader::default();
+        let end = loop {
+            if let Some(end) = reader.push(&buf, limits).map_err(bad)? {
+                break end;
+            }
+            if read_some(&mut stream, &mut buf).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        };
+        let head = Head::response(&buf[..end]).map_err(bad)?;
+        buf.drain(..end);
+        // Interim responses come before the final one (RFC 9110 section 15.2); 101 is never asked for.
+        if head.status() >= 200 {
+            break head;
+        }
+    };
+    let framing = head.response_framing(to_head).map_err(bad)?;
+    let mut reader = BodyReader::new(framing, limits).map_err(bad)?;
+    let mut body = Vec::new();
+    let mut rest = buf.len();
+    loop {
+        let taken = reader.push(&buf, &mut body).map_err(bad)?;
+        rest -= taken;
+        if reader.done() {
+            break;
+        }
+        buf.clear();
+        if read_some(&mut stream, &mut buf).await? == 0 {
+            if reader.ends_with_close() {
+                break;
+            }
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        rest = buf.len();
+    }
+    let keep = head.persists() && framing != Framing::UntilClose && rest == 0;
+    Ok((Response { head, body }, keep))
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,12 @@
+//! Connections on futures-lite streams over async-io: accepting them, keeping idle ones, one HTTP request and
+//! its response on one. The gateway, the stand-ins and the command line share it; it decides nothing.
+
+mod accept;
+mod exchange;
+mod pool;
+mod stream;
+
+pub use accept::{accept, or_closing, Closing, Place, Places};
+pub use exchange::{exchange, End, Response};
+pub use pool::Pool;
+pub use stream::{exhausted, read_some, until, Timed};
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,575 @@
+//! The processes of a run and the files they read.
+
+use crate::facts::{Facts, Life, Span, Told};
+use crate::process::Process;
+use crate::scenario::Scenario;
+use frostgauge_net::{exchange, End, Pool};
+use frostgauge_proto::http::{write_request, Body, Limits};
+use frostgauge_proto::introspection::client_basic;
+use frostgauge_standins::{dice, introspection, node, now};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Ports are taken from below the range that the system gives to outgoing connections, so that a process
+/// killed can have its port again.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// How long a process may take to be ready.
+const READY: Duration = Duration::from_secs(20);
+const CLIENT: (&str, &str) = ("gateways", "not-a-real-secret");
+
+/// What the list says of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// Nothing.
+    Absent,
+}
+
+/// A node's place.
+#[derive(Debug)]
+pub struct NodeSlot {
+    /// Its address; fixed from its first start.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// What the list says.
+    pub listed: Listed,
+    /// Its start as listed, milliseconds since 1970; 0: long ago.
+    pub started_ms: u64,
+    /// A step has it in hand.
+    pub busy: bool,
+    speed: f64,
+    lives: usize,
+    process: Option<Process>,
+}
+
+#[derive(Debug)]
+struct GatewaySlot {
+    admin: SocketAddr,
+    process: Option<Process>,
+}
+
+/// What changes in a run.
+pub struct State {
+    /// Nodes, also those gone.
+    pub nodes: Vec<NodeSlot>,
+    /// The script's draws.
+    pub rng: ChaCha8Rng,
+    /// What was done.
+    pub facts: Facts,
+    gateways: Vec<GatewaySlot>,
+    introspection: Option<Process>,
+}
+
+/// A run's processes.
+pub struct Fleet {
+    /// The day.
+    pub scenario: Scenario,
+    /// Its folder.
+    pub dir: PathBuf,
+    /// Where gateways take clients.
+    pub doors: Vec<SocketAddr>,
+    backplane: SocketAddr,
+    introspection: SocketAddr,
+    seed: u64,
+    state: Mutex<State>,
+    pool: Pool,
+}
+
+fn free_port(taken: &mut BTreeSet<u16>) -> Result<SocketAddr, String> {
+    for _ in 0..1_000 {
+        let port = rand::rng().random_range(PORTS);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() && taken.insert(port) {
+            return Ok(address);
+        }
+    }
+    Err("no free port".into())
+}
+
+/// Lays one value over another: objects member by member, all else whole.
+fn lay(over: &Value, base: &mut Value) {
+    match (over, base) {
+        (Value::Object(over), Value::Object(base)) => {
+            for (name, value) in over {
+                lay(value, base.entry(name.clone()).or_insert(Value::Null));
+            }
+        }
+        (over, base) => *base = over.clone(),
+    }
+}
+
+/// Writes a file as a whole: a reader sees the old or the new one.
+fn write_whole(path: &Path, text: &str, secret: bool) -> Result<(), String> {
+    let fail = |e: std::io::Error| format!("{}: {e}", path.display());
+    let part = path.with_extension("part");
+    std::fs::write(&part, text).map_err(fail)?;
+    if secret {
+        use std::os::unix::fs::PermissionsExt;
+        std::fs::set_permissions(&part, std::fs::Permissions::from_mode(0o600)).map_err(fail)?;
+    }
+    std::fs::rename(&part, path).map_err(fail)
+}
+
+impl Fleet {
+    /// Starts everything and waits until it is ready. `backplane` must be served by the caller.
+    ///
+    /// # Errors
+    /// A process that does not start, a port or file that cannot be had.
+    pub fn start(scenario: Scenario, dir: &Path, seed: u64, backplane: SocketAddr) -> Result<Fleet, String> {
+        let mut taken = BTreeSet::new();
+        let count = scenario.gateways.count;
+        let mut addresses = || (0..count).map(|_| free_port(&mut taken)).collect::<Result<Vec<_>, _>>();
+        let (doors, admins, peers) = (addresses()?, addresses()?, addresses()?);
+        let introspection = free_port(&mut taken)?;
+        let state = State {
+            nodes: vec![],
+            rng: dice(seed, "script"),
+            facts: Facts::default(),
+            gateways: admins.iter().map(|a| GatewaySlot { admin: *a, process: None }).collect(),
+            introspection: None,
+        };
+        let pool = Pool::new(4, Duration::from_secs(5));
+        let fleet = Fleet {
+            scenario,
+            dir: dir.to_path_buf(),
+            doors,
+            backplane,
+            introspection,
+            seed,
+            state: Mutex::new(state),
+            pool,
+        };
+        write_whole(&dir.join("client.secret"), CLIENT.1, true)?;
+        write_whole(&dir.join("peer.secret"), "shared by the gateways of one run", true)?;
+        fleet.start_introspection()?;
+        for k in 0..fleet.scenario.nodes.count {
+            fleet.add_node(k, false)?;
+        }
+        fleet.write_list()?;
+        for k in 0..count {
+            let text = format!("{:#}", fleet.settings(k, &admins, &peers));
+            // JSON is Jsonnet; the list of nodes comes from a file of its own.
+            let text = text.replace("\"NODES\"", "import 'nodes.jsonnet'");
+            write_whole(&fleet.settings_path(k), &text, false)?;
+            fleet.start_gateway(k)?;
+        }
+        for k in 0..count {
+            fleet.wait_ready(k)?;
+        }
+        Ok(fleet)
+    }
+
+    /// What changes.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn settings_path(&self, gateway: usize) -> PathBuf {
+        self.dir.join(format!("gateway-{gateway}.jsonnet"))
+    }
+
+    fn settings(&self, me: usize, admins: &[SocketAddr], peers: &[SocketAddr]) -> Value {
+        let s = &self.scenario;
+        let classes = s.classes.iter().map(|(name, c)| {
+            use frostgauge_standins::tablets::Effect;
+            let effect = match c.effect {
+                Effect::Safe => json!({ "kind": "safe" }),
+                Effect::Unsafe => json!({ "kind": "unsafe" }),
+                Effect::Keyed => json!({ "kind": "keyed", "group": "zone", "window_ms": c.window_ms }),
+            };
+            let class = json!({
+                "aim_ms": c.aim_ms, "patience_ms": c.patience_ms, "worth": c.worth, "effect": effect,
+            });
+            (name.clone(), class)
+        });
+        let routes = s.classes.iter().map(|(name, c)| {
+            json!({ "method": c.method, "path": c.path, "class": name, "units": c.units, "scope": "claims" })
+        });
+        let plans = s.plans.iter().map(|(name, p)| {
+            let plan = json!({
+                "rate": p.rate, "burst": p.burst, "open": p.open, "price": p.price,
+                "over_worth": p.over_worth, "over_cost": p.over_cost, "ceiling_rate": p.ceiling_rate,
+                "ceiling_burst": p.ceiling_burst, "ceiling_slack": p.ceiling_slack,
+            });
+            (name.clone(), plan)
+        });
+        let mut insurers = serde_json::Map::new();
+        for insurer in self.insurers() {
+            let (first, spread) = (insurer.2, insurer.3);
+            insurers.insert(insurer.0, json!({ "plan": insurer.1, "first": first, "spread": spread }));
+        }
+        for k in 0..s.one_offs {
+            insurers.insert(format!("scan-{k}"), json!({ "plan": s.insurers[0].plan }));
+        }
+        let r = &s.nodes.rules;
+        let peers = if s.gateways.count > 1 { peers } else { &[] };
+        let mut settings = json!({
+            "gateway": {
+                "number": me, "zone": s.zones[me % s.zones.len()],
+                "listen": self.doors[me].to_string(), "admin": admins[me].to_string(),
+            },
+            "fleet": {
+                "gateways": s.gateways.count,
+                "peers": peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
+                "peer_secret_file": "peer.secret",
+            },
+            "introspection": {
+                "address": self.introspection.to_string(), "client_id": CLIENT.0,
+                "client_secret_file": "client.secret",
+            },
+            "classes": classes.collect::<serde_json::Map<_, _>>(),
+            "plans": plans.collect::<serde_json::Map<_, _>>(),
+            "insurers": insurers,
+            "routes": routes.collect::<Vec<_>>(),
+            "zones": s.zones,
+            "nodes": "NODES",
+            "rules": {
+                "cold_from": r.cold_from, "cold_ms": r.cold_ms,
+                "fall_multiple": r.fall_multiple, "fall_ms": r.fall_ms,
+            },
+            "limits": { "meter_ms": s.meter.period_ms },
+        });
+        lay(&s.gateways.settings, &mut settings);
+        settings
+    }
+
+    /// Every insurer: name, plan, first gateway, spread, what it asks in quotas.
+    pub fn insurers(&self) -> Vec<(String, String, usize, usize, f64)> {
+        let mut rng = dice(self.seed, "insurers");
+        let (mut all, gateways) = (vec![], self.scenario.gateways.count);
+        for (g, group) in self.scenario.insurers.iter().enumerate() {
+            for k in 0..group.count {
+                let uses = group.uses[0] + (group.uses[1] - group.uses[0]) * rng.random::<f64>();
+                let first = rng.random_range(0..gateways);
+                let spread = group.spread.unwrap_or(gateways).clamp(1, gateways);
+                all.push((format!("ins-{g}-{k}"), group.plan.clone(), first, spread, uses));
+            }
+        }
+        all
+    }
+
+    // ---- Nodes ----
+
+    /// Starts a node at a new address, listed as ready; its index.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn add_node(&self, number: usize, cold: bool) -> Result<usize, String> {
+        let n = &self.scenario.nodes;
+        let index = {
+            let mut s = self.state();
+            let speed = n.speed[0] + (n.speed[1] - n.speed[0]) * s.rng.random::<f64>();
+            let zone = self.scenario.zones[number % self.scenario.zones.len()].clone();
+            let mut taken = s.nodes.iter().map(|n| n.address.port()).collect();
+            let address = free_port(&mut taken)?;
+            let (listed, started_ms, busy, lives, process) = (Listed::Ready, 0, false, 0, None);
+            s.nodes.push(NodeSlot { address, zone, listed, started_ms, busy, speed, lives, process });
+            s.nodes.len() - 1
+        };
+        self.start_node(index, cold)?;
+        Ok(index)
+    }
+
+    /// Starts a node's process, at the address it has; the list tells its start.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn start_node(&self, index: usize, cold: bool) -> Result<(), String> {
+        let (n, rules) = (&self.scenario.nodes, &self.scenario.nodes.rules);
+        let mut s = self.state();
+        let slot = &mut s.nodes[index];
+        slot.lives += 1;
+        let name = format!("node-{index}-{}", slot.lives);
+        let ledger = self.dir.join(format!("{name}.jsonl"));
+        let classes = self.scenario.classes.iter().map(|(name, c)| node::Class {
+            name: name.clone(),
+            method: c.method.clone(),
+            work_ms: c.work_ms,
+            units: c.units,
+            window: match c.effect {
+                frostgauge_standins::tablets::Effect::Keyed => c.window_ms * 1_000,
+                _ => 0,
+            },
+        });
+        let config = node::Config {
+            listen: slot.address,
+            ledger: ledger.clone(),
+            backplane: self.backplane,
+            group: slot.zone.clone(),
+            cores: n.cores,
+            speed: slot.speed,
+            queue: n.queue,
+            cold,
+            cold_from: rules.cold_from,
+            cold_ms: rules.cold_ms,
+            fall_multiple: rules.fall_multiple,
+            fall_ms: rules.fall_ms,
+            classes: classes.collect(),
+            seed: self.seed,
+        };
+        let path = self.dir.join(format!("{name}.json"));
+        let text = serde_json::to_string_pretty(&config).map_err(|e| e.to_string())?;
+        write_whole(&path, &text, false)?;
+        let args = ["node", "--config", &path.display().to_string()];
+        let mut process = Process::start(&name, &args, &self.dir.join("standins.log"))?;
+        process.address()?;
+        let (started, node, zone) = (now(), slot.address, slot.zone.clone());
+        slot.started_ms = if cold { started / 1_000 } else { 0 };
+        slot.process = Some(process);
+        s.facts.lives.push(Life { node, zone, ledger, started });
+        Ok(())
+    }
+
+    /// Kills a node's process; the list is not told.
+    pub fn kill_node(&self, index: usize) {
+        let process = self.state().nodes[index].process.take();
+        if let Some(mut process) = process {
+            process.kill();
+        }
+    }
+
+    /// Turns a node's knobs; one that is down has none.
+    pub async fn control_node(&self, index: usize, control: &node::Control) {
+        let address = self.state().nodes[index].address;
+        self.control(address, control).await;
+    }
+
+    async fn control(&self, to: SocketAddr, control: &impl Serialize) -> Option<Value> {
+        let (mut request, body) = (Vec::new(), serde_json::to_vec(control).ok()?);
+        let host = [("host", &b"standin"[..])];
+        write_request(&mut request, "POST", "/_control", host.into_iter(), Body::Whole(&body));
+        let second = Duration::from_secs(1);
+        let (limits, end) = (Limits::default(), Instant::now() + second);
+        match exchange(&self.pool, to, &request, false, &limits, second, end).await {
+            End::Answered(response) => serde_json::from_slice(&response.body).ok(),
+            _ => None,
+        }
+    }
+
+    fn write_list(&self) -> Result<(), String> {
+        let s = self.state();
+        let listed = s.nodes.iter().filter(|n| n.listed != Listed::Absent);
+        let list = listed.map(|n| {
+            json!({
+                "address": n.address.to_string(), "zone": n.zone, "started_ms": n.started_ms,
+                "state": if n.listed == Listed::Ready { "ready" } else { "draining" },
+            })
+        });
+        let text = format!("{:#}", Value::Array(list.collect()));
+        write_whole(&self.dir.join("nodes.jsonnet"), &text, false)
+    }
+
+    /// Writes the list as it stands and tells every gateway that runs.
+    pub fn publish(&self) {
+        if let Err(reason) = self.write_list() {
+            self.state().facts.died.push(reason);
+            return;
+        }
+        for k in 0..self.doors.len() {
+            if let Some(process) = &self.state().gateways[k].process {
+                process.signal(Signal::HUP);
+            }
+            self.note_told(k);
+        }
+    }
+
+    /// From now on this gateway goes by the list as it stands.
+    fn note_told(&self, gateway: usize) {
+        let mut s = self.state();
+        let t = now();
+        let told: Vec<Told> = s
+            .nodes
+            .iter()
+            .map(|n| Told {
+                t,
+                gateway,
+                node: n.address,
+                ready: n.listed == Listed::Ready,
+                started_ms: n.started_ms,
+            })
+            .collect();
+        s.facts.told.extend(told);
+    }
+
+    // ---- Gateways ----
+
+    /// Starts a gateway's process.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start_gateway(&self, k: usize) -> Result<(), String> {
+        let config = self.settings_path(k).display().to_string();
+        let name = format!("gateway-{k}");
+        let log = self.dir.join(format!("{name}.log"));
+        let process = Process::start(&name, &["daemon", "--config", &config], &log)?;
+        self.state().gateways[k].process = Some(process);
+        self.note_told(k);
+        Ok(())
+    }
+
+    /// Waits until a gateway takes clients.
+    ///
+    /// # Errors
+    /// It ended, or is not ready in time.
+    pub fn wait_ready(&self, k: usize) -> Result<(), String> {
+        let end = Instant::now() + READY;
+        loop {
+            if std::net::TcpStream::connect_timeout(&self.doors[k], Duration::from_secs(1)).is_ok() {
+                return Ok(());
+            }
+            let ended = self.state().gateways[k].process.as_mut().and_then(Process::ended);
+            if let Some(code) = ended {
+                let log =
+                    std::fs::read_to_string(self.dir.join(format!("gateway-{k}.log"))).unwrap_or_default();
+                return Err(format!("gateway-{k} ended with code {code}:\n{log}"));
+            }
+            if Instant::now() > end {
+                return Err(format!("gateway-{k} is not ready"));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Kills a gateway's process.
+    pub fn kill_gateway(&self, k: usize) {
+        let mut s = self.state();
+        let (from, to) = (now(), u64::MAX);
+        if let Some(mut process) = s.gateways[k].process.take() {
+            s.facts.killed.push(Span { gateway: k, from, to });
+            drop(s);
+            process.kill();
+        }
+    }
+
+    /// Starts a gateway that was killed or has ended, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn revive_gateway(&self, k: usize) -> Result<(), String> {
+        self.start_gateway(k)?;
+        self.wait_ready(k)?;
+        let (t, mut s) = (now(), self.state());
+        let facts = &mut s.facts;
+        let open = facts.killed.iter_mut().chain(&mut facts.ending);
+        open.filter(|span| span.gateway == k && span.to == u64::MAX).for_each(|span| span.to = t);
+        Ok(())
+    }
+
+    /// Signals a gateway.
+    pub fn signal_gateway(&self, k: usize, signal: Signal) {
+        if let Some(process) = &self.state().gateways[k].process {
+            process.signal(signal);
+        }
+    }
+
+    /// Ids of the gateways' processes that run.
+    pub fn gateway_ids(&self) -> Vec<u32> {
+        self.state().gateways.iter().filter_map(|g| g.process.as_ref().map(Process::id)).collect()
+    }
+
+    /// Where staff ask a gateway.
+    pub fn admin(&self, k: usize) -> SocketAddr {
+        self.state().gateways[k].admin
+    }
+
+    /// Tells a gateway to end and waits for it; what it had taken must be answered by then.
+    pub fn end_gateway(&self, k: usize) {
+        let process = {
+            let mut s = self.state();
+            let (from, to) = (now(), u64::MAX);
+            let process = s.gateways[k].process.take();
+            if process.is_some() {
+                s.facts.ending.push(Span { gateway: k, from, to });
+            }
+            process
+        };
+        let Some(mut process) = process else { return };
+        process.signal(Signal::TERM);
+        let end = Instant::now() + READY;
+        let code = loop {
+            match process.ended() {
+                Some(code) => break Some(code),
+                None if Instant::now() > end => break None,
+                None => std::thread::sleep(Duration::from_millis(10)),
+            }
+        };
+        if code != Some(0) {
+            let code = code.map_or("still running".to_owned(), |c| format!("exit code {c}"));
+            self.state().facts.unclean.push(format!("gateway-{k}: {code}"));
+        }
+    }
+
+    /// Gives a gateway settings that are no good, and then its own file back.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn bad_reload(&self, k: usize) -> Result<(), String> {
+        let path = self.settings_path(k);
+        let good = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
+        write_whole(&path, &good.replace("\"zones\"", "\"zonez\""), false)?;
+        self.signal_gateway(k, Signal::HUP);
+        // Time to read it: the good file must not be back before.
+        std::thread::sleep(Duration::from_millis(300));
+        write_whole(&path, &good, false)
+    }
+
+    // ---- Introspection ----
+
+    /// Starts the introspection server.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn start_introspection(&self) -> Result<(), String> {
+        let delay = self.scenario.introspection_ms.to_string();
+        let authorization = client_basic(CLIENT.0, CLIENT.1);
+        let listen = self.introspection.to_string();
+        let args =
+            ["introspection", "--listen", &listen, "--authorization", &authorization, "--delay-ms", &delay];
+        let mut process = Process::start("introspection", &args, &self.dir.join("standins.log"))?;
+        process.address()?;
+        self.state().introspection = Some(process);
+        Ok(())
+    }
+
+    /// Kills it.
+    pub fn kill_introspection(&self) {
+        let process = self.state().introspection.take();
+        if let Some(mut process) = process {
+            process.kill();
+        }
+    }
+
+    /// Turns its knobs.
+    pub async fn control_introspection(&self, control: &introspection::Control) {
+        self.control(self.introspection, control).await;
+    }
+
+    /// Notes processes that ended by themselves.
+    pub fn look_for_dead(&self) {
+        let mut s = self.state();
+        let State { nodes, gateways, introspection, facts, .. } = &mut *s;
+        let nodes = nodes.iter_mut().filter_map(|n| n.process.as_mut());
+        let gateways = gateways.iter_mut().filter_map(|g| g.process.as_mut());
+        for process in nodes.chain(gateways).chain(introspection.as_mut()) {
+            // A node that fell over is told by its ledger.
+            match process.ended() {
+                Some(code) if code != node::FELL => {
+                    facts.died.push(format!("{}: exit code {code}", process.name))
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,1 +1,13 @@
-//! stub
+//! Scripted days on loopback: gateways and stand-ins as processes, troubles by a script, and the five rules
+//! checked from the stand-ins' and the clients' ledgers, never from the gateways' word.
+
+pub mod checks;
+pub mod facts;
+pub mod fleet;
+pub mod process;
+pub mod report;
+pub mod roles;
+pub mod run;
+pub mod scenario;
+pub mod script;
+pub mod steps;
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,64 @@
+//! `frostgauge-rig`: scripted days on loopback.
+
+use clap::{Parser, Subcommand};
+use frostgauge_rig::{roles, run, scenario};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Plays scripted days on loopback and checks the five rules from what crossed the sockets.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a scenario. Exit code 0 only if rules and expectations hold; 1 if not; 2 if it could not run.
+    Run {
+        /// The scenario, a Jsonnet file.
+        scenario: PathBuf,
+        /// Seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keep settings, ledgers and logs in this folder, which must not exist or be empty.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Say nothing but the last line.
+        #[arg(long)]
+        quiet: bool,
+    },
+    #[command(flatten)]
+    Role(roles::Role),
+}
+
+fn main() -> ExitCode {
+    match Options::parse().command {
+        Command::Role(role) => ExitCode::from(roles::play(&role)),
+        Command::Run { scenario, seed, out, quiet } => match play(&scenario, seed, out, quiet) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(1),
+            Err(reason) => {
+                eprintln!("{}: {reason}", scenario.display());
+                ExitCode::from(2)
+            }
+        },
+    }
+}
+
+fn play(path: &std::path::Path, seed: u64, out: Option<PathBuf>, quiet: bool) -> Result<bool, String> {
+    let scenario = scenario::load(path).map_err(|faults| format!("not usable:\n{faults}"))?;
+    let folder = run::Folder::new(out)?;
+    let progress = |line: &str| {
+        if !quiet {
+            eprintln!("{line}");
+        }
+    };
+    let report = run::run(scenario, folder.path(), seed, &progress)?;
+    if !quiet {
+        print!("{}", report.table());
+    }
+    println!("{}", report.line());
+    Ok(report.passes())
+}
--- /dev/null
+++ b/crates/rig/src/roles.rs
@@ -0,0 +1,106 @@
+//! The roles that this program plays for a run, each in a process of its own.
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use frostgauge_standins::{introspection, node};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A role.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Role {
+    /// Be a gateway, as `frostgauged` is.
+    #[command(hide = true)]
+    Daemon {
+        /// The settings.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Be a stand-in claims node.
+    #[command(hide = true)]
+    Node {
+        /// Its configuration, a JSON file.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Be the stand-in introspection server.
+    #[command(hide = true)]
+    Introspection {
+        /// Where to listen.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The `Authorization` that questions must carry.
+        #[arg(long)]
+        authorization: String,
+        /// Time of an answer, milliseconds.
+        #[arg(long)]
+        delay_ms: u64,
+    },
+}
+
+/// Binds a port that a process killed a moment ago may still hold.
+fn bind(listen: SocketAddr) -> Result<Async<TcpListener>, String> {
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        match Async::<TcpListener>::bind(listen) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if Instant::now() > end => return Err(format!("{listen}: {error}")),
+            Err(_) => std::thread::sleep(Duration::from_millis(20)),
+        }
+    }
+}
+
+fn announce(listener: &Async<TcpListener>) -> Result<(), String> {
+    let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+    println!("{address}");
+    std::io::stdout().flush().map_err(|e| e.to_string())
+}
+
+/// Ends a stand-in whose rig is gone, so that none outlives a rig that was killed.
+async fn orphaned() {
+    let parent = rustix::process::getppid();
+    while rustix::process::getppid() == parent {
+        Timer::after(Duration::from_millis(500)).await;
+    }
+}
+
+/// Plays a role to its end; the exit code.
+pub fn play(role: &Role) -> u8 {
+    let executor = Arc::new(Executor::new());
+    let work = async {
+        match role {
+            Role::Daemon { .. } => Ok(()),
+            Role::Node { config } => {
+                let text = std::fs::read_to_string(config).map_err(|e| e.to_string())?;
+                let config: node::Config = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+                let listener = bind(config.listen)?;
+                announce(&listener)?;
+                node::run(listener, executor.clone(), config).await.map_err(|e| e.to_string())
+            }
+            Role::Introspection { listen, authorization, delay_ms } => {
+                let listener = bind(*listen)?;
+                announce(&listener)?;
+                introspection::run(listener, executor.clone(), authorization.clone(), *delay_ms).await;
+                Ok::<(), String>(())
+            }
+        }
+    };
+    if let Role::Daemon { config } = role {
+        frostgauge_gateway::log::init(true);
+        return frostgauge_gateway::daemon::run(config);
+    }
+    let work = futures_lite::future::or(work, async {
+        orphaned().await;
+        Ok(())
+    });
+    match futures_lite::future::block_on(executor.run(work)) {
+        Ok(()) => 0,
+        Err(reason) => {
+            eprintln!("{reason}");
+            2
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/run.rs
@@ -0,0 +1,225 @@
+//! One run of a scenario: start, play, end, check.
+
+use crate::checks::{self, Recorded, Terms};
+use crate::facts::Facts;
+use crate::fleet::Fleet;
+use crate::report::Report;
+use crate::scenario::Scenario;
+use crate::script::{self, Stage};
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use frostgauge_standins::backplane::Backplane;
+use frostgauge_standins::ledger;
+use frostgauge_standins::tablets::{Class, Insurer, Outcome, Tablets, Try};
+use futures_lite::future;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Threads of the rig itself: some wait for processes.
+const THREADS: usize = 4;
+/// How long clients may take to end after the last arrival, beyond any patience.
+const TAIL: Duration = Duration::from_secs(15);
+/// Grace of the drain rule, microseconds, as the users state it.
+const DRAIN_GRACE: u64 = 500_000;
+
+/// How a run is watched while it goes.
+pub type Progress<'a> = &'a (dyn Fn(&str) + Sync);
+
+/// Runs a scenario in a folder that exists.
+///
+/// # Errors
+/// What kept it from running; broken rules are in the report.
+pub fn run(scenario: Scenario, dir: &Path, seed: u64, progress: Progress<'_>) -> Result<Report, String> {
+    let executor = Arc::new(Executor::new());
+    let (stop, stopped) = frostgauge_net::Closing::new();
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            let (executor, stopped) = (executor.clone(), stopped.clone());
+            scope.spawn(move || future::block_on(executor.run(stopped.wait())));
+        }
+        let report = future::block_on(play(scenario, dir, seed, &executor, progress));
+        drop(stop);
+        report
+    })
+}
+
+/// The folder of a run: one that is kept, or a temporary one.
+#[derive(Debug)]
+pub struct Folder {
+    path: std::path::PathBuf,
+    keep: bool,
+}
+
+impl Folder {
+    /// The named folder, empty or made now, or a temporary one that goes with the run.
+    ///
+    /// # Errors
+    /// It cannot be made, or is not empty.
+    pub fn new(named: Option<std::path::PathBuf>) -> Result<Folder, String> {
+        let keep = named.is_some();
+        let path = named.unwrap_or_else(|| {
+            let name = format!("frostgauge-{}-{:08x}", std::process::id(), rand::random::<u32>());
+            std::env::temp_dir().join(name)
+        });
+        let fail = |e: std::io::Error| format!("{}: {e}", path.display());
+        std::fs::create_dir_all(&path).map_err(fail)?;
+        if std::fs::read_dir(&path).map_err(fail)?.next().is_some() {
+            return Err(format!("{}: is not empty", path.display()));
+        }
+        let path = path.canonicalize().map_err(fail)?;
+        Ok(Folder { path, keep })
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+async fn play(
+    scenario: Scenario,
+    dir: &Path,
+    seed: u64,
+    executor: &Arc<Executor<'static>>,
+    progress: Progress<'_>,
+) -> Result<Report, String> {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
+    let backplane: SocketAddr = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+    progress("starting the processes");
+    let fleet = Arc::new(Fleet::start(scenario, dir, seed, backplane)?);
+    let s = &fleet.scenario;
+    let mean_units: f64 = {
+        let shares: f64 = s.classes.values().map(|c| c.share).sum();
+        s.classes.values().map(|c| c.share * c.units).sum::<f64>() / shares
+    };
+    let named = fleet.insurers();
+    let rates = named.iter().map(|i| (i.0.clone(), s.plans[&i.1].rate)).collect();
+    let meter = Backplane::new(
+        Duration::from_millis(s.meter.period_ms),
+        Duration::from_millis(s.meter.late_ms),
+        rates,
+    );
+    executor.spawn(meter.run(listener, executor.clone())).detach();
+    let tokens: BTreeMap<&str, usize> = s.insurers.iter().map(|g| (g.plan.as_str(), g.tokens)).collect();
+    let insurers: Vec<Insurer> = named
+        .iter()
+        .map(|(name, plan, first, spread, uses)| Insurer {
+            name: name.clone(),
+            rate: uses * s.plans[plan].rate / mean_units,
+            doors: (0..*spread).map(|k| (first + k) % s.gateways.count).collect(),
+            tokens: tokens[plan.as_str()],
+        })
+        .collect();
+    let classes = s.classes.iter().map(|(name, c)| Class {
+        name: name.clone(),
+        method: c.method.clone(),
+        path: c.path.clone(),
+        share: c.share,
+        patience_ms: c.patience_ms,
+        effect: c.effect,
+        units: c.units,
+    });
+    let notes = dir.join("tries.jsonl");
+    let list = insurers.iter().map(|i| (i.name.clone(), i.tokens.max(1))).collect();
+    let tablets =
+        Tablets::new(classes.collect(), insurers, s.clients.clone(), fleet.doors.clone(), &notes, seed)
+            .map_err(|e| format!("{}: {e}", notes.display()))?;
+    let began = Instant::now();
+    let end = began + Duration::from_secs_f64(s.seconds);
+    tablets.start(executor, end);
+    let stage = Stage { fleet: fleet.clone(), tablets: tablets.clone(), tokens: Arc::new(list) };
+    script::start(&stage, executor, began);
+    while Instant::now() < end {
+        Timer::after(Duration::from_secs(1).min(end.saturating_duration_since(Instant::now()))).await;
+        let (at, ops, open) = (began.elapsed().as_secs(), tablets.begun(), tablets.open());
+        progress(&format!("{at:>4} s of {:.0}: {ops} operations begun, {open} open", s.seconds));
+    }
+    while tablets.open() > 0 && end.elapsed() < TAIL {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    let hanging = tablets.open();
+    // What was unasked for on idle connections shows by now.
+    let strays = tablets.strays();
+    fleet.look_for_dead();
+    progress("ending the gateways");
+    for k in 0..fleet.doors.len() {
+        // A step may just be starting one anew.
+        fleet.end_gateway(k);
+    }
+    check(&fleet, &named, &tablets, strays, hanging, seed, &notes)
+}
+
+fn check(
+    fleet: &Fleet,
+    named: &[(String, String, usize, usize, f64)],
+    tablets: &Tablets,
+    strays: u64,
+    hanging: usize,
+    seed: u64,
+    notes: &Path,
+) -> Result<Report, String> {
+    let s = &fleet.scenario;
+    let facts: Facts = fleet.state().facts.clone();
+    if let Ok(text) = serde_json::to_string_pretty(&facts) {
+        let _ = std::fs::write(fleet.dir.join("facts.json"), text);
+    }
+    let tries: Vec<Try> = ledger::read(notes).map_err(|e| format!("{}: {e}", notes.display()))?;
+    let mut nodes = vec![];
+    for life in &facts.lives {
+        let lines = ledger::read(&life.ledger).map_err(|e| format!("{}: {e}", life.ledger.display()))?;
+        nodes.push(Recorded { node: life.node, zone: life.zone.clone(), started: life.started, lines });
+    }
+    let fresh = s.gateways.settings.pointer("/introspection/fresh_ms").and_then(serde_json::Value::as_u64);
+    let terms = Terms {
+        effects: s.classes.iter().map(|(n, c)| (n.clone(), (c.effect, c.window_ms * 1_000))).collect(),
+        plans: named.iter().map(|i| (i.0.clone(), s.plans[&i.1].clone())).collect(),
+        late: s.expect.late_ms * 1_000,
+        drain_grace: DRAIN_GRACE,
+        fall: s.nodes.rules.fall_ms * 1_000,
+        fresh: fresh.unwrap_or(frostgauge_settings::Introspection::default().fresh_ms) * 1_000,
+    };
+    let rules = BTreeMap::from([
+        ("answered", checks::answered(&tries, strays, &facts, &terms)),
+        ("effects", checks::effects(&tries, &nodes, &terms)),
+        ("drains", checks::drains(&nodes, &facts, &terms)),
+        ("cold", checks::cold(&nodes, &facts, &terms)),
+        ("ceiling", checks::ceiling(&nodes, &terms)),
+        ("tokens", checks::tokens(&tries, &facts, &terms)),
+    ]);
+    let ops: BTreeSet<&str> = tries.iter().map(|t| t.op.as_str()).collect();
+    let ended = |outcomes: &[Outcome]| {
+        let some = tries.iter().filter(|t| outcomes.contains(&t.outcome));
+        some.map(|t| t.op.as_str()).collect::<BTreeSet<_>>().len() as u64
+    };
+    let served = ended(&[Outcome::Served]);
+    let failed = ended(&[Outcome::Failed, Outcome::Broken, Outcome::Silent]);
+    let (begun, e) = (tablets.begun(), &s.expect);
+    let mut unmet: Vec<String> = facts.died.clone();
+    let mut expect = |ok: bool, what: String| {
+        if !ok {
+            unmet.push(what);
+        }
+    };
+    expect(hanging == 0, format!("{hanging} operations never ended"));
+    expect(ops.len() as u64 == begun, format!("{begun} operations begun, {} noted", ops.len()));
+    expect(begun >= e.operations, format!("operations: {begun}, at least {} expected", e.operations));
+    let share = |n: u64| n as f64 / begun.max(1) as f64;
+    expect(
+        share(served) >= e.served,
+        format!("served: {:.3}, at least {} expected", share(served), e.served),
+    );
+    expect(share(failed) <= e.failed, format!("failed: {:.3}, at most {} expected", share(failed), e.failed));
+    expect(!e.clean_end || facts.unclean.is_empty(), format!("ends: {}", facts.unclean.join(", ")));
+    Ok(Report { seed, tries, rules, unmet, operations: (begun, served) })
+}
--- /dev/null
+++ b/crates/rig/src/steps.rs
@@ -0,0 +1,132 @@
+//! The troubles that a script can play, by name.
+
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+
+/// A trouble at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Seconds from the day's start.
+    pub at: f64,
+    /// What.
+    pub trouble: Trouble,
+}
+
+/// Known kinds of trouble that cannot be played yet.
+pub const NOT_YET: [&str; 1] = ["counter_down"];
+
+/// What can be played. `part` is the share of nodes or gateways that it meets, `len` seconds.
+#[allow(missing_docs, reason = "each variant's line tells its fields")]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Trouble {
+    /// Node processes are killed; they come back cold after `len`.
+    Crash { part: f64, len: f64 },
+    /// Nodes are drained with short notice, killed, and come back cold after `len`.
+    Preempt { part: f64, notice: f64, len: f64 },
+    /// Nodes answer errors, half of them after the effect.
+    FastErrors { part: f64, rate: f64, len: f64 },
+    /// Nodes run requests and close without an answer.
+    Cut { part: f64, rate: f64, len: f64 },
+    /// Nodes turn requests away, with and without the proof.
+    Full { part: f64, rate: f64, len: f64 },
+    /// Nodes stand still for `pause_ms`, every `every` seconds.
+    Pauses { part: f64, pause_ms: u64, every: f64, len: f64 },
+    /// Nodes take `times` as long.
+    Throttle { part: f64, times: f64, len: f64 },
+    /// Nodes are replaced by cold ones at new addresses, `batch` (share) at a time.
+    Deploy { part: f64, batch: f64, drain: f64, len: f64 },
+    /// Nodes are drained and removed, and come back cold after `len`.
+    Shrink { part: f64, drain: f64, len: f64 },
+    /// Gateways are killed, `batch` (share) at a time, and started again after `down` seconds.
+    BalancerRoll { part: f64, batch: f64, down: f64, len: f64 },
+    /// Gateways are drained by SIGTERM, one after another, and started again.
+    RollingRestart { len: f64 },
+    /// Gateways stand still for `stall_ms`, every `every` seconds.
+    BalancerStall { part: f64, stall_ms: u64, every: f64, len: f64 },
+    /// Answers tell no use of quotas.
+    ReportLate { len: f64 },
+    /// Some insurers ask `times` their usual rate.
+    HotKey { insurers: usize, times: f64, len: f64 },
+    /// One-off insurers, so many a second.
+    Scan { per_s: f64, len: f64 },
+    /// Clients repeat at once and often.
+    RetryAbuse { len: f64 },
+    /// A share of requests goes to each insurer's busiest gateway.
+    HotCaller { share: f64, len: f64 },
+    /// All insurers shift their traffic among their gateways at one stroke.
+    Reconnect {},
+    /// The introspection server takes this long.
+    IntrospectionSlow { delay_ms: u64, len: f64 },
+    /// It takes questions and says nothing.
+    IntrospectionSilent { len: f64 },
+    /// It answers 500.
+    IntrospectionErrors { len: f64 },
+    /// It sends half an answer.
+    IntrospectionHalf { len: f64 },
+    /// It is killed, and started again after `down` seconds.
+    IntrospectionRestart { down: f64 },
+    /// Some tokens are revoked for good.
+    Revoke { tokens: usize },
+    /// Gateways reload the settings they have.
+    Reload {},
+    /// Gateways are given settings that are no good.
+    BadReload {},
+}
+
+impl Trouble {
+    /// Whether its figures make sense.
+    ///
+    /// # Errors
+    /// What does not.
+    pub fn check(&self) -> Result<(), String> {
+        use Trouble::*;
+        let part = match self {
+            Crash { part, .. }
+            | Preempt { part, .. }
+            | FastErrors { part, .. }
+            | Cut { part, .. }
+            | Full { part, .. }
+            | Pauses { part, .. }
+            | Throttle { part, .. }
+            | Deploy { part, .. }
+            | Shrink { part, .. }
+            | BalancerRoll { part, .. }
+            | BalancerStall { part, .. } => *part,
+            _ => 1.0,
+        };
+        if !(0.0..=1.0).contains(&part) || part == 0.0 {
+            return Err("part is not over 0 and up to 1".into());
+        }
+        match self {
+            Deploy { batch, .. } | BalancerRoll { batch, .. } if !(0.01..=1.0).contains(batch) => {
+                Err("batch is not between 0.01 and 1".into())
+            }
+            FastErrors { rate, .. } | Cut { rate, .. } if !(0.0..=1.0).contains(rate) => {
+                Err("rate is not between 0 and 1".into())
+            }
+            Full { rate, .. } if !(0.0..=0.5).contains(rate) => Err("rate is not between 0 and 0.5".into()),
+            Pauses { every, .. } | BalancerStall { every, .. } if *every < 0.1 => {
+                Err("every is under 0.1".into())
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Step {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Step, D::Error> {
+        let mut value = Value::deserialize(deserializer)?;
+        let Some(members) = value.as_object_mut() else {
+            return Err(D::Error::custom("a step is an object"));
+        };
+        let at = members.remove("at").and_then(|at| at.as_f64());
+        let at = at.ok_or_else(|| D::Error::custom("a step needs `at`, in seconds"))?;
+        if let Some(name) = members.get("do").and_then(Value::as_str).filter(|n| NOT_YET.contains(n)) {
+            return Err(D::Error::custom(format!("{name} is a known trouble but cannot be played yet")));
+        }
+        let trouble = Trouble::deserialize(value).map_err(D::Error::custom)?;
+        Ok(Step { at, trouble })
+    }
+}
