--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -57,6 +57,10 @@
 
 fn start(loaded: Loaded, config: &Path) -> Result<u8, String> {
     let clock = Clock::default();
+    // Before anything listens: guards against a reload or an end asked for while it starts, which would
+    // kill a process that does not heed signals yet.
+    let mut heeded =
+        Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let gateway = loaded.file.gateway.clone();
     let clients = bind("gateway.listen", gateway.listen)?;
     let staff = bind("gateway.admin", gateway.admin)?;
@@ -103,14 +107,15 @@
         })
     };
     tracing::info!(listen = %gateway.listen, admin = %gateway.admin, number = gateway.number, "ready");
-    let code = future::block_on(async {
-        signals(&handle, config).await?;
+    let code = future::block_on(async move {
+        signals(&mut heeded, &handle, config).await;
         tracing::info!("closing: no new connections, taken requests are answered");
         drop(close);
         front.await;
-        Ok::<u8, String>(drain(&handle, &places).await)
-    })?;
-    future::block_on(handle.send(Message::Stop));
+        let code = drain(&handle, &places).await;
+        handle.send(Message::Stop).await;
+        code
+    });
     drop((stop_staff, stop_threads));
     let _ = decisions.join();
     for worker in workers {
@@ -120,17 +125,14 @@
 }
 
 /// Reloads at each SIGHUP; returns at SIGTERM or SIGINT.
-async fn signals(handle: &Handle, config: &Path) -> Result<(), String> {
-    let mut signals =
-        Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+async fn signals(signals: &mut Signals, handle: &Handle, config: &Path) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => reload(handle, config.to_path_buf()).await,
-            Ok(_) => return Ok(()),
+            Ok(_) => return,
             Err(error) => tracing::error!(%error, "signals"),
         }
     }
-    Ok(())
 }
 
 /// Takes the file anew. A bad one, or one that asks for a restart, changes nothing.
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -10,15 +10,19 @@
 /// wait in the kernel's queue, those open go on, and the loop does not spin.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
+/// Keeps things open while it lives.
+#[derive(Debug)]
+pub struct Hold(#[allow(dead_code, reason = "its end is what counts")] Sender<()>);
+
 /// Tells everyone who holds a clone that the process closes.
 #[derive(Clone, Debug)]
 pub struct Closing(Receiver<()>);
 
 impl Closing {
-    /// A pair: dropping the sender closes.
-    pub fn new() -> (Sender<()>, Closing) {
+    /// A pair: dropping the hold closes.
+    pub fn new() -> (Hold, Closing) {
         let (sender, receiver) = async_channel::bounded(1);
-        (sender, Closing(receiver))
+        (Hold(sender), Closing(receiver))
     }
 
     /// Whether it has begun.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -80,6 +80,7 @@
     pub dir: PathBuf,
     /// Where gateways take clients.
     pub doors: Vec<SocketAddr>,
+    program: PathBuf,
     backplane: SocketAddr,
     introspection: SocketAddr,
     seed: u64,
@@ -123,11 +124,18 @@
 }
 
 impl Fleet {
-    /// Starts everything and waits until it is ready. `backplane` must be served by the caller.
+    /// Starts everything and waits until it is ready; `program` plays the roles, and `backplane` must be
+    /// served by the caller.
     ///
     /// # Errors
     /// A process that does not start, a port or file that cannot be had.
-    pub fn start(scenario: Scenario, dir: &Path, seed: u64, backplane: SocketAddr) -> Result<Fleet, String> {
+    pub fn start(
+        program: &Path,
+        scenario: Scenario,
+        dir: &Path,
+        seed: u64,
+        backplane: SocketAddr,
+    ) -> Result<Fleet, String> {
         let mut taken = BTreeSet::new();
         let count = scenario.gateways.count;
         let mut addresses = || (0..count).map(|_| free_port(&mut taken)).collect::<Result<Vec<_>, _>>();
@@ -145,6 +153,7 @@
             scenario,
             dir: dir.to_path_buf(),
             doors,
+            program: program.to_path_buf(),
             backplane,
             introspection,
             seed,
@@ -323,7 +332,7 @@
         let text = serde_json::to_string_pretty(&config).map_err(|e| e.to_string())?;
         write_whole(&path, &text, false)?;
         let args = ["node", "--config", &path.display().to_string()];
-        let mut process = Process::start(&name, &args, &self.dir.join("standins.log"))?;
+        let mut process = Process::start(&self.program, &name, &args, &self.dir.join("standins.log"))?;
         process.address()?;
         let (started, node, zone) = (now(), slot.address, slot.zone.clone());
         slot.started_ms = if cold { started / 1_000 } else { 0 };
@@ -413,7 +422,7 @@
         let config = self.settings_path(k).display().to_string();
         let name = format!("gateway-{k}");
         let log = self.dir.join(format!("{name}.log"));
-        let process = Process::start(&name, &["daemon", "--config", &config], &log)?;
+        let process = Process::start(&self.program, &name, &["daemon", "--config", &config], &log)?;
         self.state().gateways[k].process = Some(process);
         self.note_told(k);
         Ok(())
@@ -537,7 +546,8 @@
         let listen = self.introspection.to_string();
         let args =
             ["introspection", "--listen", &listen, "--authorization", &authorization, "--delay-ms", &delay];
-        let mut process = Process::start("introspection", &args, &self.dir.join("standins.log"))?;
+        let mut process =
+            Process::start(&self.program, "introspection", &args, &self.dir.join("standins.log"))?;
         process.address()?;
         self.state().introspection = Some(process);
         Ok(())
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -15,15 +15,14 @@
 }
 
 impl Process {
-    /// Starts this very program in another role; its standard error goes to a file.
+    /// Starts a program of ours in a role; its standard error goes to a file.
     ///
     /// # Errors
     /// It cannot be started.
-    pub fn start(name: &str, args: &[&str], log: &Path) -> Result<Process, String> {
+    pub fn start(program: &Path, name: &str, args: &[&str], log: &Path) -> Result<Process, String> {
         let fail = |e: std::io::Error| format!("{name}: {e}");
-        let exe = std::env::current_exe().map_err(fail)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(fail)?;
-        let child = Command::new(exe)
+        let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -16,6 +16,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Threads of the rig itself: some wait for processes.
@@ -28,22 +29,61 @@
 /// How a run is watched while it goes.
 pub type Progress<'a> = &'a (dyn Fn(&str) + Sync);
 
-/// Runs a scenario in a folder that exists.
+/// A running installation, its clients left out.
+pub struct Site {
+    /// Its processes.
+    pub fleet: Arc<Fleet>,
+    /// What the rig itself runs on.
+    pub executor: Arc<Executor<'static>>,
+    stop: Option<frostgauge_net::Hold>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Site {
+    /// Starts all processes and waits until they are ready; `program` plays the roles.
+    ///
+    /// # Errors
+    /// What kept it from running.
+    pub fn open(program: &Path, scenario: Scenario, dir: &Path, seed: u64) -> Result<Site, String> {
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = frostgauge_net::Closing::new();
+        let threads = (0..THREADS)
+            .map(|_| {
+                let (executor, stopped) = (executor.clone(), stopped.clone());
+                std::thread::spawn(move || future::block_on(executor.run(stopped.wait())))
+            })
+            .collect();
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
+        let backplane: SocketAddr = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+        let fleet = Arc::new(Fleet::start(program, scenario, dir, seed, backplane)?);
+        let s = &fleet.scenario;
+        let rates = fleet.insurers().iter().map(|i| (i.0.clone(), s.plans[&i.1].rate)).collect();
+        let (period, late) =
+            (Duration::from_millis(s.meter.period_ms), Duration::from_millis(s.meter.late_ms));
+        let meter = Backplane::new(period, late, rates);
+        executor.spawn(meter.run(listener, executor.clone())).detach();
+        Ok(Site { fleet, executor, stop: Some(stop), threads })
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.stop.take();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs a scenario in a folder that exists, this very program playing the roles.
 ///
 /// # Errors
 /// What kept it from running; broken rules are in the report.
 pub fn run(scenario: Scenario, dir: &Path, seed: u64, progress: Progress<'_>) -> Result<Report, String> {
-    let executor = Arc::new(Executor::new());
-    let (stop, stopped) = frostgauge_net::Closing::new();
-    std::thread::scope(|scope| {
-        for _ in 0..THREADS {
-            let (executor, stopped) = (executor.clone(), stopped.clone());
-            scope.spawn(move || future::block_on(executor.run(stopped.wait())));
-        }
-        let report = future::block_on(play(scenario, dir, seed, &executor, progress));
-        drop(stop);
-        report
-    })
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    progress("starting the processes");
+    let site = Site::open(&program, scenario, dir, seed)?;
+    future::block_on(play(&site, dir, seed, progress))
 }
 
 /// The folder of a run: one that is kept, or a temporary one.
@@ -87,30 +127,14 @@
     }
 }
 
-async fn play(
-    scenario: Scenario,
-    dir: &Path,
-    seed: u64,
-    executor: &Arc<Executor<'static>>,
-    progress: Progress<'_>,
-) -> Result<Report, String> {
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
-    let backplane: SocketAddr = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
-    progress("starting the processes");
-    let fleet = Arc::new(Fleet::start(scenario, dir, seed, backplane)?);
+async fn play(site: &Site, dir: &Path, seed: u64, progress: Progress<'_>) -> Result<Report, String> {
+    let (fleet, executor) = (&site.fleet, &site.executor);
     let s = &fleet.scenario;
     let mean_units: f64 = {
         let shares: f64 = s.classes.values().map(|c| c.share).sum();
         s.classes.values().map(|c| c.share * c.units).sum::<f64>() / shares
     };
     let named = fleet.insurers();
-    let rates = named.iter().map(|i| (i.0.clone(), s.plans[&i.1].rate)).collect();
-    let meter = Backplane::new(
-        Duration::from_millis(s.meter.period_ms),
-        Duration::from_millis(s.meter.late_ms),
-        rates,
-    );
-    executor.spawn(meter.run(listener, executor.clone())).detach();
     let tokens: BTreeMap<&str, usize> = s.insurers.iter().map(|g| (g.plan.as_str(), g.tokens)).collect();
     let insurers: Vec<Insurer> = named
         .iter()
@@ -157,7 +181,7 @@
         // A step may just be starting one anew.
         fleet.end_gateway(k);
     }
-    check(&fleet, &named, &tablets, strays, hanging, seed, &notes)
+    check(fleet, &named, &tablets, strays, hanging, seed, &notes)
 }
 
 fn check(
--- /dev/null
+++ b/crates/rig/tests/runs.rs
@@ -0,0 +1,77 @@
+//! Short runs of the rig as users call it.
+
+mod common;
+
+use common::{read, PROGRAM};
+use frostgauge_rig::run::Folder;
+use serde_json::Value;
+use std::process::Command;
+
+const DAY: &str = r#"{
+  seconds: 5, zones: ['a', 'b'],
+  gateways: { count: 2, settings: { introspection: { timeout_ms: 150, fresh_ms: 500, stale_ms: 20000 } } },
+  nodes: { count: 4, cores: 3, list_late_s: [0.2, 0.4], rules: { cold_from: 0.3, cold_ms: 3000 } },
+  classes: {
+    read: { method: 'GET', path: '/claims/*', share: 0.6, work_ms: 20, aim_ms: 600, patience_ms: 1500, worth: 2, effect: 'safe' },
+    report: { method: 'POST', path: '/claims', share: 0.4, work_ms: 20, aim_ms: 600, patience_ms: 1500, worth: 6, effect: 'unsafe' },
+  },
+  plans: { base: { rate: 8, burst: 20, price: 1, ceiling_rate: 16, ceiling_burst: 30, ceiling_slack: 3 } },
+  insurers: [{ plan: 'base', count: 12, use: [0.5, 1.5] }],
+  steps: STEPS,
+  expect: { served: SERVED, late_ms: 400 },
+}"#;
+
+fn day(steps: &str, served: &str) -> (i32, Value, String) {
+    let folder = Folder::new(None).expect("a folder");
+    let path = folder.path().join("day.jsonnet");
+    std::fs::write(&path, DAY.replace("STEPS", steps).replace("SERVED", served)).expect("written");
+    let out = Command::new(PROGRAM).arg("run").arg(&path).args(["--seed", "3"]).output().expect("it runs");
+    let said = String::from_utf8(out.stdout).expect("text");
+    let last = said.lines().last().unwrap_or_default();
+    let line = serde_json::from_str(last).unwrap_or(Value::Null);
+    (out.status.code().unwrap_or(-1), line, String::from_utf8_lossy(&out.stderr).into_owned())
+}
+
+#[test]
+fn a_bad_day_keeps_the_rules_and_says_so_in_one_line() {
+    let steps = "[{ at: 0.5, do: 'introspection_silent', len: 1 }, { at: 1, do: 'crash', part: 0.25, len: 1.5 },
+        { at: 1.5, do: 'balancer_roll', part: 0.5, batch: 0.5, down: 0.5, len: 1 }, { at: 2, do: 'revoke', tokens: 3 },
+        { at: 2.5, do: 'cut', part: 0.25, rate: 0.5, len: 1 }, { at: 3.5, do: 'deploy', part: 0.25, batch: 0.25, drain: 0.7, len: 1 }]";
+    let (code, line, said) = day(steps, "0.3");
+    assert_eq!((code, &line["verdict"]), (0, &Value::from("pass")), "{line} {said}");
+    assert_eq!(line["seed"], 3);
+    for rule in ["answered", "effects", "drains", "cold", "ceiling"] {
+        assert_eq!(line["rules"][rule], 0, "{rule}");
+    }
+    let answers = &line["answers"];
+    let sum: u64 =
+        ["served", "refused", "failed", "denied"].iter().map(|k| answers[k].as_u64().expect("a count")).sum();
+    let (left, cut) = (line["left"].as_u64().expect("a count"), line["cut"].as_u64().expect("a count"));
+    assert_eq!(line["taken"].as_u64(), Some(sum + left + cut), "{line}");
+    assert!(line["latency_ms"]["p99"].as_f64() > Some(1.0));
+}
+
+#[test]
+fn an_expectation_that_is_not_met_ends_with_code_1() {
+    let (code, line, _) = day("[]", "1.1");
+    assert_eq!((code, &line["verdict"]), (1, &Value::from("fail")));
+    assert!(line["unmet"][0].as_str().expect("text").starts_with("served: "), "{line}");
+}
+
+#[test]
+fn scenarios_that_make_no_sense_end_with_code_2_and_a_path() {
+    let (code, line, said) = day("[{ at: 1, do: 'counter_down', len: 2 }]", "0");
+    assert_eq!((code, line), (2, Value::Null));
+    assert!(said.contains("steps[0]") && said.contains("counter_down is a known trouble"), "{said}");
+    for (steps, want) in [
+        ("[{ at: 1, do: 'earthquake' }]", "unknown variant `earthquake`"),
+        ("[{ at: 99, do: 'reload' }]", "steps[0].at: is not within the day"),
+        ("[{ at: 1, do: 'crash', part: 2, len: 1 }]", "steps[0]: part"),
+        ("[{ do: 'reload' }]", "a step needs `at`"),
+        ("[{ at: 1, do: 'reload', part: 1 }]", "unknown field `part`"),
+    ] {
+        let folder = Folder::new(None).expect("a folder");
+        let faults = read(&folder, &DAY.replace("STEPS", steps).replace("SERVED", "0")).expect_err(want);
+        assert!(faults.to_string().contains(want), "{faults}");
+    }
+}
--- a/scenarios/frost-night.jsonnet
+++ b/scenarios/frost-night.jsonnet
@@ -1,7 +1,7 @@
 // A frost night: the introspection server slows down and falls silent in mid-burst, tokens are revoked,
 // nodes crash, err and cut connections, an insurer asks for far more than its quota.
 (import 'base.libsonnet') {
-  seconds: 42,
+  seconds: 50,
   steps: [
     { at: 3, do: 'introspection_slow', delay_ms: 120, len: 5 },
     { at: 5, do: 'hot_key', insurers: 3, times: 4, len: 14 },
@@ -17,5 +17,5 @@
     { at: 33, do: 'pauses', part: 0.3, pause_ms: 200, every: 1, len: 5 },
     { at: 36, do: 'reconnect' },
   ],
-  expect: { operations: 9000, served: 0.5, failed: 0.1 },
+  expect: { operations: 10000, served: 0.5, failed: 0.1 },
 }
