--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,7 +8,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use frostgauge_net::{accept, Closing, Places};
+use frostgauge_net::{accept, listen, Closing, Places};
 use frostgauge_settings::{load, Loaded};
 use futures_lite::{future, StreamExt};
 use std::net::{SocketAddr, TcpListener};
@@ -34,7 +34,7 @@
 }
 
 fn bind(what: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
-    Async::<TcpListener>::bind(address).map_err(|e| format!("{what} {address}: {e}"))
+    listen(address).map_err(|e| format!("{what} {address}: {e}"))
 }
 
 /// Runs a gateway until SIGTERM or SIGINT. Returns the exit code; errors are told on standard error.
@@ -74,7 +74,7 @@
     let workers: Vec<_> = (0..threads)
         .map(|k| {
             let (executor, stopped) = (executor.clone(), stopped.clone());
-            let work = move || future::block_on(executor.run(stopped.recv()));
+            let work = move || async_io::block_on(executor.run(stopped.recv()));
             std::thread::Builder::new().name(format!("sockets-{k}")).spawn(work)
         })
         .collect::<Result<_, _>>()
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -2,7 +2,9 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use socket2::{Domain, Protocol, Socket, Type};
 use std::future::Future;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -10,6 +12,22 @@
 /// wait in the kernel's queue, those open go on, and the loop does not spin.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
+/// Connections that may wait in the kernel's queue (it has a bound of its own): guards against hundreds that
+/// come back at one stroke, of which a short queue would drop many for a second.
+const BACKLOG: i32 = 4096;
+
+/// Opens a listening socket; one of a process just ended is taken over.
+///
+/// # Errors
+/// The address is in use or cannot be had.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(TcpListener::from(socket))
+}
+
 /// Keeps things open while it lives.
 #[derive(Debug)]
 pub struct Hold(#[allow(dead_code, reason = "its end is what counts")] Sender<()>);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,7 +6,7 @@
 mod pool;
 mod stream;
 
-pub use accept::{accept, or_closing, Closing, Hold, Place, Places};
+pub use accept::{accept, listen, or_closing, Closing, Hold, Place, Places};
 pub use exchange::{exchange, End, Response};
 pub use pool::Pool;
 pub use stream::{exhausted, read_some, until, Timed};
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -99,6 +99,14 @@
     Err("no free port".into())
 }
 
+/// Some free port, for a process that cannot choose its own.
+///
+/// # Errors
+/// There is none.
+pub fn any_port() -> Result<SocketAddr, String> {
+    free_port(&mut BTreeSet::new())
+}
+
 /// Lays one value over another: objects member by member, all else whole.
 fn lay(over: &Value, base: &mut Value) {
     match (over, base) {
@@ -112,7 +120,7 @@
 }
 
 /// Writes a file as a whole: a reader sees the old or the new one.
-fn write_whole(path: &Path, text: &str, secret: bool) -> Result<(), String> {
+pub(crate) fn write_whole(path: &Path, text: &str, secret: bool) -> Result<(), String> {
     let fail = |e: std::io::Error| format!("{}: {e}", path.display());
     let part = path.with_extension("part");
     std::fs::write(&part, text).map_err(fail)?;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scripted days on loopback: gateways and stand-ins as processes, troubles by a script, and the five rules
 //! checked from the stand-ins' and the clients' ledgers, never from the gateways' word.
 
+pub mod bench;
 pub mod checks;
 pub mod facts;
 pub mod fleet;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,7 +1,7 @@
 //! `frostgauge-rig`: scripted days on loopback.
 
 use clap::{Parser, Subcommand};
-use frostgauge_rig::{roles, run, scenario};
+use frostgauge_rig::{bench, roles, run, scenario};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -29,6 +29,15 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Measure the gateway against a plain relay and against the servers themselves, in turns.
+    Bench {
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+        /// Rounds, of which the median counts.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
     #[command(flatten)]
     Role(roles::Role),
 }
@@ -36,6 +45,19 @@
 fn main() -> ExitCode {
     match Options::parse().command {
         Command::Role(role) => ExitCode::from(roles::play(&role)),
+        Command::Bench { seconds, rounds } => {
+            let program = std::env::current_exe().map_err(|e| e.to_string());
+            match program.and_then(|p| bench::run(&p, seconds, rounds)) {
+                Ok(figures) => {
+                    println!("{figures}");
+                    ExitCode::SUCCESS
+                }
+                Err(reason) => {
+                    eprintln!("bench: {reason}");
+                    ExitCode::from(2)
+                }
+            }
+        }
         Command::Run { scenario, seed, out, quiet } => match play(&scenario, seed, out, quiet) {
             Ok(true) => ExitCode::SUCCESS,
             Ok(false) => ExitCode::from(1),
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -37,10 +37,21 @@
     /// # Errors
     /// It ended first, or printed something else.
     pub fn address(&mut self) -> Result<SocketAddr, String> {
+        self.addresses(1).map(|all| all[0])
+    }
+
+    /// The addresses, one a line, that it prints.
+    ///
+    /// # Errors
+    /// It ended first, or printed something else.
+    pub fn addresses(&mut self, n: usize) -> Result<Vec<SocketAddr>, String> {
         let out = self.child.stdout.take().ok_or("no standard output")?;
-        let mut line = String::new();
-        BufReader::new(out).read_line(&mut line).map_err(|e| e.to_string())?;
-        line.trim().parse().map_err(|_| format!("{}: did not start ({line:?})", self.name))
+        let mut lines = BufReader::new(out).lines();
+        let read = |_| {
+            let line = lines.next().and_then(Result::ok).unwrap_or_default();
+            line.trim().parse().map_err(|_| format!("{}: did not start ({line:?})", self.name))
+        };
+        (0..n).map(read).collect()
     }
 
     /// Its id.
--- a/crates/rig/src/roles.rs
+++ b/crates/rig/src/roles.rs
@@ -2,7 +2,7 @@
 
 use async_executor::Executor;
 use async_io::{Async, Timer};
-use frostgauge_standins::{introspection, node};
+use frostgauge_standins::{introspection, node, plain};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -26,6 +26,20 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Be servers that answer at once.
+    #[command(hide = true)]
+    Echo {
+        /// How many.
+        #[arg(long)]
+        ports: usize,
+    },
+    /// Be a relay that decides nothing.
+    #[command(hide = true)]
+    Relay {
+        /// Where to.
+        #[arg(long, value_delimiter = ',')]
+        to: Vec<SocketAddr>,
+    },
     /// Be the stand-in introspection server.
     #[command(hide = true)]
     Introspection {
@@ -45,7 +59,7 @@
 fn bind(listen: SocketAddr) -> Result<Async<TcpListener>, String> {
     let end = Instant::now() + Duration::from_secs(5);
     loop {
-        match Async::<TcpListener>::bind(listen) {
+        match frostgauge_net::listen(listen) {
             Ok(listener) => return Ok(listener),
             Err(error) if Instant::now() > end => return Err(format!("{listen}: {error}")),
             Err(_) => std::thread::sleep(Duration::from_millis(20)),
@@ -73,6 +87,20 @@
     let work = async {
         match role {
             Role::Daemon { .. } => Ok(()),
+            Role::Echo { ports } => {
+                for _ in 0..*ports {
+                    let listener = bind(([127, 0, 0, 1], 0).into())?;
+                    announce(&listener)?;
+                    executor.spawn(plain::echo(listener, executor.clone())).detach();
+                }
+                std::future::pending().await
+            }
+            Role::Relay { to } => {
+                let listener = bind(([127, 0, 0, 1], 0).into())?;
+                announce(&listener)?;
+                plain::relay(listener, executor.clone(), to.clone()).await;
+                Ok(())
+            }
             Role::Node { config } => {
                 let text = std::fs::read_to_string(config).map_err(|e| e.to_string())?;
                 let config: node::Config = serde_json::from_str(&text).map_err(|e| e.to_string())?;
@@ -92,6 +120,15 @@
         frostgauge_gateway::log::init(true);
         return frostgauge_gateway::daemon::run(config);
     }
+    // The measures run on as many threads as a gateway does.
+    if let Role::Echo { .. } | Role::Relay { .. } = role {
+        for _ in 1..std::thread::available_parallelism().map_or(1, usize::from) {
+            let executor = executor.clone();
+            std::thread::spawn(move || {
+                futures_lite::future::block_on(executor.run(std::future::pending::<()>()))
+            });
+        }
+    }
     let work = futures_lite::future::or(work, async {
         orphaned().await;
         Ok(())
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod introspection;
 pub mod ledger;
 pub mod node;
+pub mod plain;
 pub mod serve;
 pub mod tablets;
 
