Zones: preference, limited spill and a ramped way back, asked at each attempt

Need: the loss of a building must not topple the others, nor its return knock over its nodes; nothing limited what crosses. Change: crates/zones decides free of I/O (tiers, health from symptoms, spill in turns on a lattice of time so that the sum of all gateways stays under the limit without a word between them, hold-down doubled by flaps, ramp with safe requests first). The library asks a Gate before each attempt; without one it decides as before. Settings zone_policy, checks of dark zones, status, metrics, log, frostgauge zones drain and restore; rig steps zone_dark, zone_flap, zone_slow, zone_silent and the check of spill.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -33,6 +33,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Take a zone out of use at a gateway, or give it back through the ramp.
+    Zones {
+        /// The gateway's admin address.
+        #[arg(long)]
+        admin: SocketAddr,
+        /// What to do.
+        #[arg(value_parser = ["drain", "restore"])]
+        word: String,
+        /// The zone.
+        zone: String,
+    },
     /// Play a frost night, all on this machine: gateways, introspection server, claims nodes, tablets.
     Demo {
         /// Seed of all draws.
@@ -61,6 +72,7 @@
             }
         },
         Command::Status { admin, json } => status::show(admin, json),
+        Command::Zones { admin, word, zone } => status::zone(admin, &zone, &word),
         Command::Demo { seed, out } => demo::play(seed, out),
     }
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -23,6 +23,21 @@
     }
 }
 
+/// Takes a zone out of use at a gateway, or gives it back; exit code 1 if that cannot be.
+pub(crate) fn zone(admin: SocketAddr, zone: &str, word: &str) -> ExitCode {
+    let path = format!("/zones/{zone}/{word}");
+    match futures_lite::future::block_on(frostgauge_gateway::admin::ask(admin, "POST", &path, PATIENCE)) {
+        Ok(_) => {
+            println!("{admin}: zone {zone}: {word}");
+            ExitCode::SUCCESS
+        }
+        Err(reason) => {
+            eprintln!("{reason}");
+            ExitCode::from(1)
+        }
+    }
+}
+
 /// The figures that staff look at first.
 fn table(status: &Value) -> String {
     let at = |path: &str| match status.pointer(path) {
@@ -64,6 +79,15 @@
     for (kind, row) in status["latency_ms"].as_object().into_iter().flatten() {
         out += &format!("  {kind:<10}p50 {} ms, p99 {} ms\n", row["p50"], row["p99"]);
     }
+    for zone in status["zones"].as_array().into_iter().flatten() {
+        let at = |name: &str| zone[name].as_str().map_or_else(|| zone[name].to_string(), str::to_owned);
+        out +=
+            &format!(
+            "  zone {:<14}tier {:<5}{:<6}for {} s, open {}, health {}, spill {} of {} a second, short {}\n",
+            at("zone"), at("tier"), at("phase"), at("for_s"), at("open"), at("health"), at("spilled"),
+            at("spill_per_s"), at("short"),
+        );
+    }
     for node in status["nodes"].as_array().into_iter().flatten() {
         let word = |name: &str| node[name].as_str().unwrap_or("-").to_owned();
         out += &format!("  node {:<22}{:<14}{}\n", word("address"), word("zone"), word("state"));
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -68,6 +68,14 @@
             None => (503, text, "the engine has ended\n".to_owned()),
         },
         Some(("GET", "/health")) => (200, text, "ok\n".to_owned()),
+        Some(("POST", target)) if target.starts_with("/zones/") => match zone(handle, target).await {
+            Some(true) => (200, text, "ok\n".to_owned()),
+            _ => (
+                404,
+                text,
+                "POST /zones/ZONE/drain or /zones/ZONE/restore, of a zone of zone_policy\n".to_owned(),
+            ),
+        },
         Some(_) => (404, text, "GET /metrics, /status or /health\n".to_owned()),
         None => (400, text, "not a request\n".to_owned()),
     };
@@ -77,16 +85,42 @@
     let _ = stream.write_all(&out).await;
 }
 
+/// Staff take a zone out of use, or give it back.
+async fn zone(handle: &Handle, target: &str) -> Option<bool> {
+    let (zone, word) = target.strip_prefix("/zones/")?.split_once('/')?;
+    let drained = match word {
+        "drain" => true,
+        "restore" => false,
+        _ => return None,
+    };
+    let (reply, answer) = async_channel::bounded(1);
+    handle.send(crate::engine::Message::Drain { zone: zone.to_owned(), drained, reply }).await;
+    answer.recv().await.ok()
+}
+
 /// Fetches a page of another gateway's staff address; for the command line.
 ///
 /// # Errors
 /// No connection, no answer within `patience`, or one that is not 200.
 pub async fn fetch(from: std::net::SocketAddr, path: &str, patience: Duration) -> Result<String, String> {
+    ask(from, "GET", path, patience).await
+}
+
+/// Asks another gateway's staff address; for the command line.
+///
+/// # Errors
+/// No connection, no answer within `patience`, or one that is not 200.
+pub async fn ask(
+    from: std::net::SocketAddr,
+    method: &str,
+    path: &str,
+    patience: Duration,
+) -> Result<String, String> {
     let pool = Pool::new(1, Duration::from_secs(1));
     let (deadline, host) = (Instant::now() + patience, from.to_string());
     let mut request = Vec::new();
     let fields = [("host", host.as_bytes()), ("connection", &b"close"[..])];
-    frostgauge_proto::http::write_request(&mut request, "GET", path, fields.into_iter(), Body::None);
+    frostgauge_proto::http::write_request(&mut request, method, path, fields.into_iter(), Body::None);
     let limits = Limits { body: 16 << 20, ..Limits::default() };
     let work = exchange(&pool, from, &request, false, &limits, patience, deadline);
     match until(deadline, work).await {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -10,10 +10,12 @@
 use crate::clock::Micros;
 use crate::reply::{Failed, Final};
 use crate::timers::Timers;
+use crate::zone_gate::ZoneGate;
 use frostgauge::{Action, Entry, Event, Gateway, ListKind, Load, RequestId, ServerId, Status, Why};
 use frostgauge_identity::{Answer, Grant, Identity, Outcome, Step, TokenName};
 use frostgauge_proto::bearer::Denied;
 use frostgauge_settings::{Insurer, Loaded};
+use frostgauge_zones::{Change, Zones};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -81,6 +83,22 @@
         /// The load it told of.
         load: Option<Load>,
     },
+    /// What a check of a node in a dark zone found.
+    Checked {
+        /// The node.
+        server: ServerId,
+        /// How it ended.
+        status: Status,
+        /// Time since it was sent.
+        took: Micros,
+    },
+    /// Staff take a zone out of use, or give it back.
+    Drain {
+        /// Its index.
+        zone: u32,
+        /// Out of use.
+        drained: bool,
+    },
     /// A message of another gateway.
     Peer {
         /// Its number.
@@ -141,6 +159,13 @@
         /// Which.
         server: ServerId,
     },
+    /// See whether a node of a dark zone answers, and hand in `Checked`.
+    Check {
+        /// Which.
+        server: ServerId,
+    },
+    /// A zone changed, for the log.
+    Zone(Change),
     /// Send a message to another gateway.
     Tell {
         /// Its number.
@@ -188,7 +213,7 @@
 
 /// The decisions of one gateway with all that they go by.
 pub struct Core {
-    library: Gateway,
+    library: Gateway<ZoneGate>,
     identity: Identity,
     timers: Timers,
     open: BTreeMap<u64, Open>,
@@ -215,6 +240,11 @@
     }
 }
 
+/// A number from 0 up to 1 that differs between requests, to spread advice.
+fn spread(ticket: u64) -> f64 {
+    (ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Core {
     /// A core that starts now.
     ///
@@ -222,7 +252,7 @@
     /// Settings that the library does not take.
     pub fn new(loaded: &Loaded, seed: u64, now: Micros) -> Result<Core, frostgauge::SettingsError> {
         let mut core = Core {
-            library: Gateway::new(loaded.library.clone(), seed, now)?,
+            library: Gateway::with_gate(loaded.library.clone(), seed, now, ZoneGate::new(loaded, now))?,
             identity: Identity::new(identity_config(loaded), seed),
             timers: Timers::default(),
             open: BTreeMap::new(),
@@ -248,7 +278,9 @@
 
     /// Takes a whole list of nodes.
     pub fn servers(&mut self, now: Micros, entries: Vec<Entry>, out: &mut Vec<Command>) {
+        self.library.gate.list(now, &entries);
         self.decide(now, Event::Servers { kind: ListKind::Full, entries }, out);
+        self.tell_zones(out);
     }
 
     /// Counts so far.
@@ -261,6 +293,17 @@
         &self.identity
     }
 
+    /// The decisions about zones, to look at.
+    pub fn zones(&self) -> Option<&Zones> {
+        self.library.gate.zones.as_ref()
+    }
+
+    fn tell_zones(&mut self, out: &mut Vec<Command>) {
+        if let Some(zones) = &mut self.library.gate.zones {
+            out.extend(zones.changes().into_iter().map(Command::Zone));
+        }
+    }
+
     /// Requests open.
     pub fn open(&self) -> usize {
         self.open.len()
@@ -295,6 +338,8 @@
                         out.push(Command::Deliver { ticket, attempt });
                     }
                 }
+                self.library.gate.ended(now, server, status, took, load);
+                self.tell_zones(out);
                 let settled = None;
                 let event = Event::Outcome { id, attempt, server, status, took, closed, used, settled, load };
                 self.decide(now, event, out);
@@ -302,6 +347,16 @@
             Input::Probed { server, status, load } => {
                 self.decide(now, Event::Probed { server, status, load }, out);
             }
+            Input::Checked { server, status, took } => {
+                self.library.gate.ended(now, server, status, took, None);
+                self.tell_zones(out);
+            }
+            Input::Drain { zone, drained } => {
+                if let Some(zones) = &mut self.library.gate.zones {
+                    zones.drain(now, zone, drained);
+                }
+                self.tell_zones(out);
+            }
             Input::Peer { from, data } => self.decide(now, Event::Peer { from, data }, out),
         }
     }
@@ -313,6 +368,11 @@
             self.identity.tick(now, &mut steps);
             self.carry_out(now, steps, out);
         }
+        if let Some(zones) = &mut self.library.gate.zones {
+            zones.advance(now);
+            out.extend(zones.checks(now).into_iter().map(|id| Command::Check { server: ServerId(id) }));
+        }
+        self.tell_zones(out);
         while let Some(timer) = self.timers.due(now) {
             self.decide(now, Event::Timer { timer }, out);
         }
@@ -430,6 +490,8 @@
                         out.push(Command::Send { ticket: id.0, attempt, server, timeout, grant });
                     }
                     Action::Refuse { id, retry_after, why } => {
+                        let advice = self.library.gate.zones.as_ref().filter(|_| why == Why::Zone);
+                        let retry_after = advice.map_or(retry_after, |z| z.advice(spread(id.0)));
                         self.answer(id.0, Final::Refused { why, retry_after }, out);
                     }
                     Action::Fail { id } => {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -69,7 +69,8 @@
     })?;
     let metrics = admin::metrics()?;
     let executor = Arc::new(Executor::new());
-    let threads = std::thread::available_parallelism().map_or(1, usize::from).clamp(THREADS.0, THREADS.1);
+    let threads =
+        (std::thread::available_parallelism().map_or(1, usize::from) / 2).clamp(THREADS.0, THREADS.1);
     let (stop_threads, stopped) = async_channel::bounded::<()>(1);
     let workers: Vec<_> = (0..threads)
         .map(|k| {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -90,6 +90,24 @@
         /// How.
         ended: Ended,
     },
+    /// A check of a node ended.
+    Checked {
+        /// The node.
+        server: ServerId,
+        /// How.
+        status: Status,
+        /// Time since it was sent.
+        took: Micros,
+    },
+    /// Staff take a zone out of use, or give it back; whether it is known is told.
+    Drain {
+        /// Its name.
+        zone: String,
+        /// Out of use.
+        drained: bool,
+        /// Where to tell.
+        reply: Sender<bool>,
+    },
     /// A message of another gateway.
     Peer {
         /// Its number.
@@ -307,6 +325,17 @@
                 let input = Input::Probed { server, status: ended.status, load: ended.load };
                 self.core.handle(now, input, out);
             }
+            Message::Checked { server, status, took } => {
+                self.core.handle(now, Input::Checked { server, status, took }, out);
+            }
+            Message::Drain { zone, drained, reply } => {
+                let known = self.handle.loaded().file.zones.iter().position(|z| *z == zone);
+                let known = known.filter(|_| self.core.zones().is_some());
+                if let Some(zone) = known {
+                    self.core.handle(now, Input::Drain { zone: zone as u32, drained }, out);
+                }
+                let _ = reply.try_send(known.is_some());
+            }
             Message::Peer { from, data } => self.core.handle(now, Input::Peer { from, data }, out),
             Message::Reload(loaded) => {
                 match self.handle.loaded.write() {
@@ -370,6 +399,15 @@
             Command::Answer { ticket, answer } => self.answer(ticket, answer),
             Command::Introspect { flight, token, timeout } => self.introspect(flight, token, timeout),
             Command::Probe { server } => self.probe(server),
+            Command::Check { server } => self.check(server),
+            Command::Zone(change) => {
+                let loaded = self.handle.loaded();
+                let zone = loaded.file.zones.get(change.zone as usize).cloned().unwrap_or_default();
+                let phase = format!("{:?}", change.phase).to_lowercase();
+                metrics::counter!("frostgauge_zone_changes", "zone" => zone.clone(), "phase" => phase.clone())
+                    .increment(1);
+                tracing::warn!(zone, phase, why = change.why, "zone");
+            }
             Command::Tell { to, data } => {
                 if let Some(peers) = &mut self.peers {
                     peers.tell(to, &data);
@@ -460,6 +498,24 @@
             .detach();
     }
 
+    fn check(&mut self, server: ServerId) {
+        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox.clone(), self.pool.clone());
+        let Some(to) = self.addresses.get(&server).copied() else { return };
+        let Some(path) = loaded.file.zone_policy.as_ref().map(|p| p.check_path.clone()) else { return };
+        self.executor
+            .spawn(async move {
+                let l = &loaded.file.limits;
+                let limits =
+                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
+                let began = Instant::now();
+                let patience = Duration::from_millis(l.connect_ms);
+                let status = upstream::probe(&pool, to, &path, &limits, patience).await.status;
+                let took = crate::clock::micros(began.elapsed());
+                let _ = inbox.send(Message::Checked { server, status, took }).await;
+            })
+            .detach();
+    }
+
     /// Forgets tokens whose verdict nobody waits for: only their names stay.
     fn sweep(&mut self, now: Micros) {
         if now < self.swept + SWEEP {
@@ -467,6 +523,7 @@
         }
         self.swept = now;
         let identity = self.core.identity();
+        self.observed.publish();
         self.tokens.retain(|name, _| identity.waits_for(name));
         let (waiting, flights, verdicts) = identity.sizes();
         for (what, value) in [
@@ -482,6 +539,19 @@
         }
     }
 
+    fn zone_rows(&self, now: Micros, loaded: &Loaded) -> Vec<Value> {
+        let Some(zones) = self.core.zones() else { return vec![] };
+        let rows = loaded.file.zones.iter().enumerate().filter_map(|(k, name)| {
+            let s = zones.standing(now, k as u32)?;
+            Some(json!({
+                "zone": name, "phase": format!("{:?}", s.phase).to_lowercase(),
+                "for_s": now.saturating_sub(s.since) as f64 / 1e6, "open": s.open, "health": s.health,
+                "tier": s.tier, "spill_per_s": s.spill_part, "spilled": s.spilled, "short": s.short,
+            }))
+        });
+        rows.collect()
+    }
+
     fn status(&self, now: Micros) -> Value {
         let (counts, identity, loaded) = (self.core.counts(), self.core.identity(), self.handle.loaded());
         let (waiting, flights, verdicts) = identity.sizes();
@@ -506,6 +576,7 @@
                 "asked": tally.asked, "failed": tally.failed, "hits": tally.hits, "stale": tally.stale,
                 "unavailable": tally.unavailable,
             },
+            "zones": self.zone_rows(now, &loaded),
             "nodes": loaded.file.nodes.iter().map(|n| json!({
                 "address": n.address.to_string(), "zone": n.zone, "state": format!("{:?}", n.state).to_lowercase(),
             })).collect::<Vec<_>>(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod reply;
 pub mod timers;
 pub mod upstream;
+pub mod zone_gate;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -19,7 +19,6 @@
     /// One final answer: its kind (`served`, `refused`, `failed`, `denied`), its reason, its latency.
     pub fn answer(&mut self, kind: &'static str, reason: &'static str, took: Micros) {
         metrics::counter!("frostgauge_answers", "kind" => kind, "reason" => reason).increment(1);
-        metrics::histogram!("frostgauge_answer_seconds", "kind" => kind).record(took as f64 / 1e6);
         *self.reasons.entry(reason).or_default() += 1;
         if !self.kinds.contains_key(kind) {
             if let Ok(new) = Histogram::new_with_bounds(1, LONGEST, 3) {
@@ -31,6 +30,18 @@
         }
     }
 
+    /// Publishes the latencies as gauges. A histogram of the metrics crate would keep every sample until
+    /// somebody asks for the page.
+    pub fn publish(&self) {
+        for (kind, h) in &self.kinds {
+            for (q, name) in [(0.5, "0.5"), (0.99, "0.99")] {
+                let seconds = h.value_at_quantile(q) as f64 / 1e6;
+                metrics::gauge!("frostgauge_answer_seconds", "kind" => *kind, "quantile" => name)
+                    .set(seconds);
+            }
+        }
+    }
+
     /// Counts by reason.
     pub fn reasons(&self) -> Value {
         json!(self.reasons)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -68,6 +68,7 @@
         Why::Ceiling => ("ceiling", 429, "The insurer's hard ceiling is reached"),
         Why::Pressed => ("pressed", 503, "The claims nodes have no room for this request now"),
         Why::NoServer => ("no-node", 503, "No claims node can take this request now"),
+        Why::Zone => ("zone", 503, "The zones that could take this request are closed to it now"),
         Why::Tried => {
             ("not-served", 503, "Attempts did not serve this request, and none of them took effect")
         }
--- /dev/null
+++ b/crates/gateway/src/zone_gate.rs
@@ -0,0 +1,98 @@
+//! Between the library's question before each attempt and the decisions about zones.
+
+use crate::clock::Micros;
+use frostgauge::{Attempting, Gate, Load, RequestId, ServerId, Status};
+use frostgauge_settings::Loaded;
+use frostgauge_zones::{Ask, Config, End, Limit, Node, Zones};
+use std::collections::BTreeMap;
+
+const MS: Micros = 1_000;
+
+/// The decisions about zones with the zones of nodes; none where the settings have no `zone_policy`.
+#[derive(Debug, Default)]
+pub struct ZoneGate {
+    /// The decisions.
+    pub zones: Option<Zones>,
+    places: BTreeMap<ServerId, u32>,
+}
+
+impl Gate for ZoneGate {
+    fn open(&mut self, now: Micros, attempting: &Attempting) -> u64 {
+        let ask = Ask { safe: attempting.safe, worth: attempting.worth };
+        self.zones.as_mut().map_or(u64::MAX, |zones| zones.open(now, ask))
+    }
+
+    fn sent(&mut self, now: Micros, _: RequestId, zone: u32) {
+        if let Some(zones) = &mut self.zones {
+            zones.sent(now, zone);
+        }
+    }
+}
+
+/// What `zones` goes by, from the settings.
+fn config(loaded: &Loaded) -> Option<Config> {
+    let (file, policy) = (&loaded.file, loaded.file.zone_policy.as_ref()?);
+    let (me, here) = (file.gateway.number, &file.gateway.zone);
+    let place = |zone: &String| file.zones.iter().position(|z| z == zone).map(|k| k as u32);
+    let tiers = policy.tiers.get(here)?.iter().map(|t| t.iter().filter_map(place).collect());
+    let limits = policy.limits.get(here);
+    let limits = file
+        .zones
+        .iter()
+        .map(|zone| limits.and_then(|l| l.get(zone)).map(|l| Limit { rate: l.rate, share: l.share }));
+    // A limit is for the gateways of this zone: its turns are shared among them, where they are known.
+    let mates = |n: usize| file.fleet.zones.iter().take(n).filter(|z| *z == here).count();
+    let (me, gateways) = match file.fleet.zones.len() {
+        0 => (me, file.fleet.gateways),
+        n => (mates(me), mates(n)),
+    };
+    Some(Config {
+        me,
+        gateways,
+        zones: file.zones.len(),
+        tiers: tiers.collect(),
+        limits: limits.collect(),
+        overprovision: policy.overprovision,
+        hold: policy.hold_ms * MS,
+        hold_most: policy.hold_most_ms * MS,
+        calm: policy.calm_ms * MS,
+        ramp: policy.ramp_ms * MS,
+        check_every: policy.check_every_ms * MS,
+        cold: (file.rules.cold_ms * MS, file.rules.cold_from),
+    })
+}
+
+impl ZoneGate {
+    /// For these settings.
+    pub fn new(loaded: &Loaded, now: Micros) -> ZoneGate {
+        ZoneGate { zones: config(loaded).map(|c| Zones::new(c, now)), places: BTreeMap::new() }
+    }
+
+    /// Takes the whole list.
+    pub fn list(&mut self, now: Micros, entries: &[frostgauge::Entry]) {
+        self.places.extend(entries.iter().map(|e| (e.server, e.zone)));
+        let Some(zones) = &mut self.zones else { return };
+        let ready = |e: &frostgauge::Entry| e.state == frostgauge::State::Ready;
+        let nodes: Vec<Node> = entries
+            .iter()
+            .map(|e| Node { id: e.server.0, zone: e.zone, ready: ready(e), started: e.ready_at })
+            .collect();
+        zones.list(now, &nodes);
+    }
+
+    /// An attempt or a check ended.
+    pub fn ended(&mut self, now: Micros, server: ServerId, status: Status, took: Micros, load: Option<Load>) {
+        let (Some(zones), Some(zone)) = (&mut self.zones, self.places.get(&server)) else { return };
+        let end = match status {
+            Status::Ok | Status::Error | Status::Full => End::Answered,
+            Status::ConnectFailed | Status::Reset | Status::Timeout => End::Dead,
+            Status::Cancelled | Status::Moot => End::Nothing,
+        };
+        zones.ended(now, *zone, server.0, now.saturating_sub(took), end);
+        if let (Status::Ok, Some(load)) = (status, load) {
+            if let (Some(held), Some(busy)) = (load.inflight, load.util) {
+                zones.reported(*zone, held, busy, took as f64 / 1e6);
+            }
+        }
+    }
+}
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -4,7 +4,7 @@
 use futures_lite::AsyncRead;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::time::Instant;
 
 /// The outcome of something with a time limit.
@@ -18,6 +18,11 @@
 
 /// Runs a future until a moment.
 pub async fn until<T>(at: Instant, work: impl Future<Output = T>) -> Timed<T> {
+    let mut work = pin!(work);
+    // A timer costs a turn of the reactor's lock: only what has to wait gets one.
+    if let Some(done) = futures_lite::future::poll_once(&mut work).await {
+        return Timed::Done(done);
+    }
     let late = async {
         Timer::at(at).await;
         Timed::Late
--- a/crates/rig/src/bench.rs
+++ b/crates/rig/src/bench.rs
@@ -253,6 +253,10 @@
             paced[k].push(h.value_at_quantile(0.99) as f64);
         }
     }
+    let status =
+        future::block_on(frostgauge_gateway::admin::fetch(admin, "/status", Duration::from_secs(5)))?;
+    let status: Value = serde_json::from_str(&status).map_err(|e| e.to_string())?;
+    println!("longest batch of the deciding thread: {} ms", status["longest_batch_ms"]);
     let paced: Vec<f64> = paced.into_iter().map(median).collect();
     println!("p99 at {half:.0} requests a second over 64 connections, us: direct {:.0}, relay {:.0}, gateway {:.0}", paced[0], paced[1], paced[2]);
     let ratios: Vec<f64> =
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -45,6 +45,10 @@
     pub fall: u64,
     /// A revocation must be heeded within this, microseconds.
     pub fresh: u64,
+    /// Zones of gateways, by number.
+    pub zones: Vec<String>,
+    /// Limits on spill, a second: from, to.
+    pub spill: BTreeMap<(String, String), f64>,
 }
 
 fn within(spans: &[Span], gateway: usize, from: u64, to: u64) -> bool {
@@ -254,3 +258,32 @@
     }
     found
 }
+
+/// Beside the five rules: what gateways of one zone send another in any one second stays under the limit.
+pub fn spill(nodes: &[Recorded], terms: &Terms) -> Vec<String> {
+    let mut sends: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
+    for node in nodes {
+        for line in node.lines.iter().filter(|l| l.what == What::Recv) {
+            let from = sender(line).and_then(|g| terms.zones.get(g));
+            if let Some(from) = from {
+                sends.entry((from, &node.zone)).or_default().push(line.t);
+            }
+        }
+    }
+    let mut found = vec![];
+    for ((from, to), limit) in &terms.spill {
+        let Some(times) = sends.get_mut(&(from.as_str(), to.as_str())) else { continue };
+        times.sort_unstable();
+        let (mut first, mut most) = (0, 0);
+        for (k, t) in times.iter().enumerate() {
+            while times[first] + 1_000_000 <= *t {
+                first += 1;
+            }
+            most = most.max(k + 1 - first);
+        }
+        if most as f64 > *limit {
+            found.push(format!("{from} sent {to} {most} attempts in a second, {limit} allowed"));
+        }
+    }
+    found
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -239,6 +239,7 @@
             },
             "fleet": {
                 "gateways": s.gateways.count,
+                "zones": (0..s.gateways.count).map(|k| &s.zones[k % s.zones.len()]).collect::<Vec<_>>(),
                 "peers": peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
                 "peer_secret_file": "peer.secret",
             },
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -205,7 +205,14 @@
         nodes.push(Recorded { node: life.node, zone: life.zone.clone(), started: life.started, lines });
     }
     let fresh = s.gateways.settings.pointer("/introspection/fresh_ms").and_then(serde_json::Value::as_u64);
+    let limits = s.gateways.settings.pointer("/zone_policy/limits").and_then(serde_json::Value::as_object);
+    let pairs = limits.into_iter().flatten().flat_map(|(from, targets)| {
+        let targets = targets.as_object().into_iter().flatten();
+        targets.filter_map(move |(to, l)| Some(((from.clone(), to.clone()), l.get("rate")?.as_f64()?)))
+    });
     let terms = Terms {
+        zones: (0..s.gateways.count).map(|k| s.zones[k % s.zones.len()].clone()).collect(),
+        spill: pairs.collect(),
         effects: s.classes.iter().map(|(n, c)| (n.clone(), (c.effect, c.window_ms * 1_000))).collect(),
         plans: named.iter().map(|i| (i.0.clone(), s.plans[&i.1].clone())).collect(),
         late: s.expect.late_ms * 1_000,
@@ -219,6 +226,7 @@
         ("drains", checks::drains(&nodes, &facts, &terms)),
         ("cold", checks::cold(&nodes, &facts, &terms)),
         ("ceiling", checks::ceiling(&nodes, &terms)),
+        ("spill", checks::spill(&nodes, &terms)),
         ("tokens", checks::tokens(&tries, &facts, &terms)),
     ]);
     let ops: BTreeSet<&str> = tries.iter().map(|t| t.op.as_str()).collect();
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -67,6 +67,18 @@
         free
     }
 
+    /// All nodes of a zone that are listed as ready and that no other step has in hand.
+    fn take_zone(&self, zone: &str) -> Result<Vec<usize>, String> {
+        let mut s = self.fleet.state();
+        let free = |n: &crate::fleet::NodeSlot| n.zone == zone && n.listed == Listed::Ready && !n.busy;
+        let nodes: Vec<usize> = (0..s.nodes.len()).filter(|k| free(&s.nodes[*k])).collect();
+        if nodes.is_empty() {
+            return Err(format!("zone {zone} has no nodes free"));
+        }
+        nodes.iter().for_each(|k| s.nodes[*k].busy = true);
+        Ok(nodes)
+    }
+
     fn free_nodes(&self, nodes: &[usize]) {
         let mut s = self.fleet.state();
         nodes.iter().for_each(|k| s.nodes[*k].busy = false);
@@ -236,6 +248,33 @@
                 self.tablets.turn(|k| k.busiest = 0.0);
             }
             Reconnect {} => self.tablets.turn(|k| k.shifts += 1),
+            ZoneDark { zone, len } => {
+                let nodes = self.take_zone(zone)?;
+                nodes.iter().for_each(|k| fleet.kill_node(*k));
+                self.down(&nodes, *len).await?;
+            }
+            ZoneFlap { zone, times, down, up } => {
+                for _ in 0..*times {
+                    let nodes = self.take_zone(zone)?;
+                    nodes.iter().for_each(|k| fleet.kill_node(*k));
+                    self.down(&nodes, *down).await?;
+                    wait(*up).await;
+                }
+            }
+            ZoneSlow { zone, times, len } => {
+                let nodes = self.take_zone(zone)?;
+                self.knob(&nodes, Control { slow: Some(*times), ..Control::default() }).await;
+                wait(*len).await;
+                self.knob(&nodes, Control { slow: Some(1.0), ..Control::default() }).await;
+                self.free_nodes(&nodes);
+            }
+            ZoneSilent { zone, len } => {
+                let nodes = self.take_zone(zone)?;
+                let pause_ms = Some((len * 1e3) as u64);
+                self.knob(&nodes, Control { pause_ms, ..Control::default() }).await;
+                wait(*len).await;
+                self.free_nodes(&nodes);
+            }
             IntrospectionSlow { delay_ms, len } => {
                 let set = TokenControl { delay_ms: Some(*delay_ms), ..TokenControl::default() };
                 self.tokens_while(*len, set).await;
--- a/crates/rig/src/steps.rs
+++ b/crates/rig/src/steps.rs
@@ -57,6 +57,14 @@
     HotCaller { share: f64, len: f64 },
     /// All insurers shift their traffic among their gateways at one stroke.
     Reconnect {},
+    /// Every node of a zone dies at once; they come back cold after `len`.
+    ZoneDark { zone: String, len: f64 },
+    /// A zone dies and comes back, again and again: `down` and `up` seconds, so many `times`.
+    ZoneFlap { zone: String, times: u32, down: f64, up: f64 },
+    /// Every node of a zone takes `times` as long.
+    ZoneSlow { zone: String, times: f64, len: f64 },
+    /// Every node of a zone stands still: connections stand, nothing answers.
+    ZoneSilent { zone: String, len: f64 },
     /// The introspection server takes this long.
     IntrospectionSlow { delay_ms: u64, len: f64 },
     /// It takes questions and says nothing.
--- a/crates/rig/tests/checkers.rs
+++ b/crates/rig/tests/checkers.rs
@@ -25,6 +25,8 @@
         drain_grace: 500 * MS,
         fall: S,
         fresh: 2 * S,
+        zones: vec!["b".into()],
+        spill: BTreeMap::from([(("b".into(), "a".into()), 10.0)]),
     }
 }
 
@@ -79,7 +81,7 @@
         tried("a", "report", Outcome::Served, 1_200 * MS),
         tried("a", "report", Outcome::Odd, MS),
     ] {
-        assert_eq!(checks::answered(&[bad.clone()], 0, &facts, &terms).len(), 1, "{bad:?}");
+        assert_eq!(checks::answered(std::slice::from_ref(&bad), 0, &facts, &terms).len(), 1, "{bad:?}");
     }
     // A gateway that was killed meanwhile owes nothing; one killed long before does.
     let killed = |from, to| Facts { killed: vec![Span { gateway: 0, from, to }], ..Facts::default() };
@@ -160,7 +162,7 @@
     let terms = terms();
     let burst = |n: u64, gap: u64| {
         let lines = (0..n).map(|k| line(T + k * gap, What::Recv, &format!("0-1-{k}"), "a", "read"));
-        let (even, odd): (Vec<Line>, Vec<Line>) = lines.partition(|l| l.t / gap % 2 == 0);
+        let (even, odd): (Vec<Line>, Vec<Line>) = lines.partition(|l| (l.t / gap).is_multiple_of(2));
         [at(0, even), at(1, odd)]
     };
     assert!(checks::ceiling(&burst(22, MS), &terms).is_empty(), "the store and its slack");
@@ -172,6 +174,19 @@
     assert!(checks::ceiling(&[at(0, attempts)], &terms).is_empty());
 }
 
+#[test]
+fn spill_over_its_limit_in_any_second_is_found() {
+    let terms = terms();
+    let sends = |n: u64, gap: u64| {
+        let lines = (0..n).map(|k| line(T + k * gap, What::Recv, &format!("0-1-{k}"), "a", "read")).collect();
+        [at(0, lines)]
+    };
+    assert!(checks::spill(&sends(10, MS), &terms).is_empty());
+    assert_eq!(checks::spill(&sends(11, MS), &terms).len(), 1);
+    assert!(checks::spill(&sends(100, 100 * MS), &terms).is_empty());
+    assert_eq!(checks::spill(&sends(100, 90 * MS), &terms).len(), 1);
+}
+
 #[test]
 fn an_entry_on_a_token_long_revoked_is_found() {
     let terms = terms();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Whether a file makes sense as a whole; nothing is decided here.
 
-use crate::{Effect, Fault, File};
+use crate::{Effect, Fault, File, ZonePolicy};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) struct Checks(pub Vec<Fault>);
@@ -70,6 +70,9 @@
     c.figure(r.cold_from, "rules.cold_from".into());
     c.figure(r.fall_multiple, "rules.fall_multiple".into());
     limits(&mut c, f);
+    if let Some(policy) = &f.zone_policy {
+        zone_policy(&mut c, f, policy);
+    }
     c.0
 }
 
@@ -143,6 +146,50 @@
     }
 }
 
+fn zone_policy(c: &mut Checks, f: &File, p: &ZonePolicy) {
+    let known = |zone: &String| f.zones.contains(zone);
+    c.that(f.zones.len() <= 64, "zones", "are more than 64, which zone_policy cannot tell apart");
+    c.that(p.tiers.contains_key(&f.gateway.zone), "zone_policy.tiers", "has none for this gateway's zone");
+    for (from, tiers) in &p.tiers {
+        let at = format!("zone_policy.tiers.{from}");
+        c.that(known(from), &at, "is not a zone");
+        c.that(tiers.first().is_some_and(|t| !t.is_empty()), &at, "has no first tier");
+        let mut seen = BTreeSet::new();
+        for (k, zone) in tiers.iter().enumerate().flat_map(|(k, tier)| tier.iter().map(move |z| (k, z))) {
+            c.that(known(zone), format!("{at}[{k}]"), format!("names the unknown zone '{zone}'"));
+            c.that(seen.insert(zone), format!("{at}[{k}]"), format!("names '{zone}' again: a cycle"));
+            let empty = !f.nodes.is_empty() && !f.nodes.iter().any(|n| n.zone == *zone);
+            c.that(!empty, format!("{at}[{k}]"), format!("names '{zone}', which has no nodes"));
+        }
+    }
+    for (from, targets) in &p.limits {
+        c.that(known(from), format!("zone_policy.limits.{from}"), "is not a zone");
+        for (to, limit) in targets {
+            let at = |field: &str| format!("zone_policy.limits.{from}.{to}{field}");
+            c.that(known(to) && to != from, at(""), "is not another zone");
+            c.that(limit.rate.is_finite() && limit.rate >= 2.0, at(".rate"), "is under 2 a second");
+            c.that(limit.share > 0.0 && limit.share <= 1.0, at(".share"), "is not over 0 and up to 1");
+        }
+    }
+    c.that(
+        p.overprovision >= 1.0 && p.overprovision <= 10.0,
+        "zone_policy.overprovision",
+        "is not between 1 and 10",
+    );
+    for (name, value) in
+        [("hold_ms", p.hold_ms), ("ramp_ms", p.ramp_ms), ("check_every_ms", p.check_every_ms)]
+    {
+        c.that(value > 0, format!("zone_policy.{name}"), "is zero");
+    }
+    c.that(p.hold_most_ms >= p.hold_ms, "zone_policy.hold_most_ms", "is under hold_ms");
+    c.that(p.check_path.starts_with('/'), "zone_policy.check_path", "is no path");
+    let z = &f.fleet.zones;
+    c.that(z.is_empty() || z.len() == f.fleet.gateways, "fleet.zones", "does not name every gateway's zone");
+    c.that(z.iter().all(known), "fleet.zones", "names an unknown zone");
+    let here = z.get(f.gateway.number).is_none_or(|zone| *zone == f.gateway.zone);
+    c.that(here, "fleet.zones", "gives this gateway another zone than gateway.zone");
+}
+
 fn limits(c: &mut Checks, f: &File) {
     let l = &f.limits;
     let counts = [
@@ -170,6 +217,12 @@
     ] {
         c.that(value > 0, format!("limits.{name}"), "is zero");
     }
+    let longest = f.classes.values().map(|c| c.patience_ms).max().unwrap_or(0);
+    c.that(
+        l.drain_ms >= longest,
+        "limits.drain_ms",
+        "is under the longest patience_ms: a drain would cut answers off",
+    );
     if let Some(path) = &l.probe_path {
         c.that(
             path.starts_with('/') && path.bytes().all(|b| b.is_ascii_graphic()),
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -33,6 +33,8 @@
     pub rules: Rules,
     /// Bounds.
     pub limits: Limits,
+    /// Preference between zones; none: they are alike.
+    pub zone_policy: Option<ZonePolicy>,
 }
 
 /// This gateway.
@@ -55,6 +57,9 @@
 pub struct Fleet {
     /// How many gateways there are.
     pub gateways: usize,
+    /// The zone of each gateway, by number; with `zone_policy`, so that a limit is shared among those that it is for.
+    #[serde(default)]
+    pub zones: Vec<String>,
     /// Where each gateway, by number, takes datagrams; none: they do not talk to each other.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
@@ -354,6 +359,71 @@
     }
 }
 
+/// Preference between zones, and bounds on what crosses.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ZonePolicy {
+    /// For gateways of each zone: its tiers, the preferred one first, each a list of zones.
+    pub tiers: BTreeMap<String, Vec<Vec<String>>>,
+    /// From gateways of a zone to a zone outside their first tier: what crosses at most.
+    #[serde(default)]
+    pub limits: BTreeMap<String, BTreeMap<String, SpillLimit>>,
+    /// A tier serves all while its healthy share times this is at least 1.
+    #[serde(default = "overprovision")]
+    pub overprovision: f64,
+    /// A zone that is back is held down for this long, doubled with each flap.
+    #[serde(default = "hold")]
+    pub hold_ms: u64,
+    /// The longest hold.
+    #[serde(default = "hold_most")]
+    pub hold_most_ms: u64,
+    /// A flap is forgotten after this long without one.
+    #[serde(default = "calm")]
+    pub calm_ms: u64,
+    /// Time of the ramp.
+    #[serde(default = "ramp")]
+    pub ramp_ms: u64,
+    /// Between two checks of a dark zone.
+    #[serde(default = "check_every")]
+    pub check_every_ms: u64,
+    /// The path that checks ask for; any answer counts.
+    #[serde(default = "check_path")]
+    pub check_path: String,
+}
+
+fn overprovision() -> f64 {
+    1.4
+}
+fn hold() -> u64 {
+    5_000
+}
+fn hold_most() -> u64 {
+    120_000
+}
+fn calm() -> u64 {
+    60_000
+}
+fn ramp() -> u64 {
+    15_000
+}
+fn check_every() -> u64 {
+    500
+}
+fn check_path() -> String {
+    "/health".into()
+}
+
+/// What crosses from the gateways of a zone to another zone at most.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SpillLimit {
+    /// Attempts in any one second, from all gateways of the zone together; 2 at least.
+    pub rate: f64,
+    /// Share of the target's capacity, as far as it can be learnt.
+    #[serde(default = "one")]
+    pub share: f64,
+}
+
 /// Reads each section by itself, so that an error in one does not hide those of the others.
 struct Sections<'a> {
     members: &'a serde_json::Map<String, Value>,
@@ -416,7 +486,7 @@
     }
 }
 
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "gateway",
     "fleet",
     "introspection",
@@ -428,6 +498,7 @@
     "nodes",
     "rules",
     "limits",
+    "zone_policy",
 ];
 
 /// Reads a value into the shape of a file.
@@ -443,6 +514,7 @@
     let (classes, plans, insurers) = (s.map("classes"), s.map("plans"), s.map("insurers"));
     let (routes, zones, nodes) = (s.list("routes"), s.list("zones"), s.list("nodes"));
     let (rules, limits) = (s.optional("rules"), s.optional("limits"));
+    let zone_policy = s.optional("zone_policy");
     let file = (|| {
         Some(File {
             gateway: gateway?,
@@ -456,6 +528,7 @@
             nodes: nodes?,
             rules: rules?,
             limits: limits?,
+            zone_policy: zone_policy?,
         })
     })();
     file.filter(|_| s.faults.is_empty()).ok_or(Faults(s.faults))
--- a/crates/settings/src/loaded.rs
+++ b/crates/settings/src/loaded.rs
@@ -139,6 +139,7 @@
         c.that(new.classes == old.classes, "classes", reason);
         c.that(new.plans == old.plans, "plans", reason);
         c.that(new.rules == old.rules, "rules", reason);
+        c.that(new.zone_policy == old.zone_policy, "zone_policy", reason);
         let kept = new.zones.get(..old.zones.len()) == Some(&old.zones[..]);
         c.that(kept, "zones", "takes one away or changes their order; that needs a restart");
         let l = |l: &Limits| (l.attempts, l.retry_after_ms, l.probe_path.clone(), l.meter_ms);
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -204,6 +204,9 @@
         if request.head.target() == "/_control" {
             return self.control(&request.body);
         }
+        if request.head.target() == "/health" {
+            return self.health().await;
+        }
         let Some(job) = self.job(&request) else {
             return Act::json(404, &json!({ "error": "no such thing" }));
         };
@@ -272,13 +275,7 @@
     }
 
     async fn work(&self, job: &Job<'_>, work: f64, roll: f64) -> Act {
-        loop {
-            let paused = self.state.lock().ok().and_then(|s| s.paused.filter(|end| *end > Instant::now()));
-            match paused {
-                Some(end) => drop(Timer::at(end).await),
-                None => break,
-            }
-        }
+        self.awake().await;
         let trouble = self.state.lock().map(|s| s.trouble.clone()).unwrap_or_default();
         let (full, errs) = (trouble.full_rate.unwrap_or(0.0), trouble.error_rate.unwrap_or(0.0));
         // Without the proof: it did not run, but nobody can know.
@@ -319,6 +316,22 @@
         self.served(job)
     }
 
+    /// Whether it is alive: a paused one does not answer.
+    async fn health(&self) -> Act {
+        self.awake().await;
+        Act::json(200, &json!({ "ok": true }))
+    }
+
+    async fn awake(&self) {
+        loop {
+            let paused = self.state.lock().ok().and_then(|s| s.paused.filter(|end| *end > Instant::now()));
+            match paused {
+                Some(end) => drop(Timer::at(end).await),
+                None => break,
+            }
+        }
+    }
+
     fn fields(&self, job: &Job<'_>) -> Vec<(&'static str, String)> {
         let report = self.state.lock().map(|s| orca::Report {
             quota_use: s.told.get(&job.line.insurer).copied().filter(|_| s.trouble.meter != Some(false)),
--- a/src/api.rs
+++ b/src/api.rs
@@ -362,6 +362,36 @@
     },
 }
 
+/// What a gate is asked about before an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Attempting {
+    /// The request.
+    pub id: RequestId,
+    /// It may run twice without harm.
+    pub safe: bool,
+    /// What it earns when served in time.
+    pub worth: f64,
+}
+
+/// Decides which zones an attempt may go to, beside the choice of a server. [`Open`] lets all be.
+pub trait Gate {
+    /// The zones that may be sent to now, a bit each; zones from 64 on are always open.
+    fn open(&mut self, now: Micros, attempting: &Attempting) -> u64;
+    /// An attempt goes out to a server of this zone.
+    fn sent(&mut self, now: Micros, id: RequestId, zone: u32);
+}
+
+/// No gate: every zone is open.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Open;
+
+impl Gate for Open {
+    fn open(&mut self, _: Micros, _: &Attempting) -> u64 {
+        u64::MAX
+    }
+    fn sent(&mut self, _: Micros, _: RequestId, _: u32) {}
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
@@ -373,6 +403,8 @@
     Pressed,
     /// No server may be sent it now.
     NoServer,
+    /// The zones that have servers for it are closed to it.
+    Zone,
     /// Its attempts did not serve it, and no further one may go.
     Tried,
     /// Its client's time is over.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -277,7 +277,9 @@
 
 /// The decisions of one gateway.
 #[derive(Default)]
-pub struct Gateway {
+pub struct Gateway<G = Open> {
+    /// Which zones may be sent to: asked before each attempt, told of each send.
+    pub gate: G,
     settings: Settings,
     launched: Micros,
     life: u32,
@@ -315,6 +317,13 @@
 impl Gateway {
     /// A gateway that starts now, or the field of the settings that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
+        Gateway::with_gate(settings, seed, now, Open)
+    }
+}
+
+impl<G: Gate + Default> Gateway<G> {
+    /// A gateway whose attempts go through a gate.
+    pub fn with_gate(settings: Settings, seed: u64, now: Micros, gate: G) -> Result<Self, SettingsError> {
         crate::check::check(&settings)?;
         let n = settings.gateways;
         let worth = settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
@@ -322,6 +331,7 @@
         // So seldom does one gateway write to each of its peers that all of them fill no one's intake.
         let gap = ((n - 1) as f64 * 1e6 / (MAIL_PART * settings.allow.peer_in_per_s).max(0.1)) as Micros;
         Ok(Gateway {
+            gate,
             life: (seed ^ (seed >> 32)) as u32 & 0xff_ffff,
             launched: now,
             dearest: worth * price,
@@ -435,8 +445,11 @@
 
     /// The best server for a request's next attempt, and how long it should take to answer. Among many
     /// gateways, the best of a few drawn: those with the same late reports would else all choose alike.
-    fn pick(&mut self, now: Micros, id: RequestId, again: bool) -> Option<(ServerId, f64)> {
-        let r = self.requests.get(&id)?;
+    fn pick(&mut self, now: Micros, id: RequestId, again: bool) -> Result<(ServerId, f64), Why> {
+        let r = self.requests.get(&id).ok_or(Why::Unsound)?;
+        let (class, price) = (&self.settings.classes[r.class], self.settings.plans[r.plan].price);
+        let (safe, worth) = (class.effect == Effect::Safe, class.worth * price);
+        let open = self.gate.open(now, &Attempting { id, safe, worth });
         let ready = &self.ready;
         let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
         let looks = (ready.len() * CHOICES).div_ceil(self.settings.gateways).max(CHOICES);
@@ -454,15 +467,20 @@
             order.splice(looks..looks, heard.chain(cold));
         }
         let looks = looks + order.len() - draws;
-        let (s, r) = (&self.settings, self.requests.get(&id)?);
+        let (s, r) = (&self.settings, self.requests.get(&id).ok_or(Why::Unsound)?);
         let known = self.ejected.iter().filter_map(|id| self.servers.get(id));
         let out = known.filter(|x| x.ejected > now && x.entry.state == State::Ready).count() as f64;
         let trust = out <= EJECT_SHARE * ready.len() as f64;
         let ran = r.attempts.iter().find(|a| a.may_have_run || a.open);
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|x| (x.entry.zone, x.entry.cell));
         let (mut best, mut seen): (Option<(ServerId, f64, f64)>, usize) = (None, 0);
+        let mut none = Why::NoServer;
         for k in order.into_iter().chain(0..ready.len()) {
             let (server, x) = (ready[k], &self.servers[&ready[k]]);
+            if open.checked_shr(x.entry.zone).is_some_and(|bits| bits & 1 == 0) {
+                none = Why::Zone;
+                continue;
+            }
             let ramp = x.ramp(now, &s.rules);
             let same_group = home.is_none_or(|(zone, cell)| match effect {
                 Effect::Keyed { group: Group::Zone, .. } => x.entry.zone == zone,
@@ -491,7 +509,7 @@
                 break;
             }
         }
-        best.map(|(server, _, wait)| (server, wait))
+        best.map(|(server, _, wait)| (server, wait)).ok_or(none)
     }
 
     /// Whether the back end takes no more from here: our attempts out exceed what the flow of answers
@@ -544,7 +562,7 @@
         let most = if first { class.aim as f64 } else { left };
         let full_worth = class.worth * plan.price * if r.inside { 1.0 } else { plan.over_worth };
         let late = full_worth * class.late_worth;
-        let (server, wait) = self.pick(now, id, !first).ok_or(Why::NoServer)?;
+        let (server, wait) = self.pick(now, id, !first)?;
         if wait > most || self.pressed(now, if left < wait { late } else { full_worth }) {
             return Err(Why::Pressed);
         }
@@ -575,6 +593,7 @@
             let held = x.holds(now);
             x.open += 1;
             x.credit -= 1.0;
+            self.gate.sent(now, id, x.entry.zone);
             r.attempts.push(Attempt { server, sent: now, open: true, may_have_run: false, held });
             out.push(Action::Send { id, server, timeout });
         }
