--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod run;
 pub mod scenario;
 pub mod script;
+pub mod search;
 pub mod steps;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,7 +1,7 @@
 //! `frostgauge-rig`: scripted days on loopback.
 
 use clap::{Parser, Subcommand};
-use frostgauge_rig::{bench, roles, run, scenario};
+use frostgauge_rig::{bench, roles, run, scenario, search};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -29,6 +29,22 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Search days of faults in virtual time for one that passes a limit on spill, pushes a node over, loses an
+    /// answer, or leaves a zone away from home. Exit code 0 only if none does.
+    Search {
+        /// How many days.
+        #[arg(long, default_value_t = 100)]
+        days: u64,
+        /// Gateways of each.
+        #[arg(long, default_value_t = 400)]
+        gateways: usize,
+        /// Seed of the first; the others follow.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Leave the decisions about zones out.
+        #[arg(long)]
+        no_zones: bool,
+    },
     /// Measure the gateway against a plain relay and against the servers themselves, in turns.
     Bench {
         /// Seconds of each measurement.
@@ -45,6 +61,18 @@
 fn main() -> ExitCode {
     match Options::parse().command {
         Command::Role(role) => ExitCode::from(roles::play(&role)),
+        Command::Search { days, gateways, seed, no_zones } => {
+            match search::search(days, gateways, seed, !no_zones) {
+                Ok((figures, kept)) => {
+                    println!("{figures}");
+                    ExitCode::from(u8::from(!kept))
+                }
+                Err(reason) => {
+                    eprintln!("search: {reason}");
+                    ExitCode::from(2)
+                }
+            }
+        }
         Command::Bench { seconds, rounds } => {
             let program = std::env::current_exe().map_err(|e| e.to_string());
             match program.and_then(|p| bench::run(&p, seconds, rounds)) {
