--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -214,7 +214,9 @@
         let core = Core::new(&loaded, seed, now)?;
         let (sender, inbox) = async_channel::bounded(INBOX);
         let l = &loaded.file.limits;
-        let pool = Arc::new(Pool::new(l.pool, Duration::from_millis(l.pool_idle_ms)));
+        let pool = Arc::new(
+            Pool::new(l.pool, Duration::from_millis(l.pool_idle_ms)).from(loaded.file.gateway.source),
+        );
         let mut engine = Engine {
             core,
             handle: Handle {
@@ -524,6 +526,7 @@
         self.swept = now;
         let identity = self.core.identity();
         self.observed.publish();
+        self.publish_zones(now);
         self.tokens.retain(|name, _| identity.waits_for(name));
         let (waiting, flights, verdicts) = identity.sizes();
         for (what, value) in [
@@ -539,6 +542,22 @@
         }
     }
 
+    fn publish_zones(&self, now: Micros) {
+        let (Some(zones), loaded) = (self.core.zones(), self.handle.loaded()) else { return };
+        for (k, name) in loaded.file.zones.iter().enumerate() {
+            let Some(s) = zones.standing(now, k as u32) else { continue };
+            for (what, value) in [
+                ("open", s.open),
+                ("health", s.health),
+                ("spilled", s.spilled as f64),
+                ("short", s.short as f64),
+                ("spill_per_s", s.spill_part.unwrap_or(f64::NAN)),
+            ] {
+                metrics::gauge!("frostgauge_zone", "zone" => name.clone(), "what" => what).set(value);
+            }
+        }
+    }
+
     fn zone_rows(&self, now: Micros, loaded: &Loaded) -> Vec<Value> {
         let Some(zones) = self.core.zones() else { return vec![] };
         let rows = loaded.file.zones.iter().enumerate().filter_map(|(k, name)| {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -39,17 +39,23 @@
 
 pub fn settings() -> Loaded {
     static LOADED: OnceLock<Loaded> = OnceLock::new();
-    LOADED.get_or_init(read_settings).clone()
+    LOADED.get_or_init(|| read_settings(SETTINGS)).clone()
 }
 
-fn read_settings() -> Loaded {
+/// The same with preference between its two zones, and a limit on what crosses.
+pub fn zoned() -> Loaded {
+    let policy = "zone_policy: { tiers: { a: [['a'], ['b']] }, limits: { a: { b: { rate: 20 } } }, hold_ms: 1000, ramp_ms: 4000 },\n  zones:";
+    read_settings(&SETTINGS.replace("zones:", policy))
+}
+
+fn read_settings(text: &str) -> Loaded {
     let name = format!("frostgauge-core-{}-{:?}", std::process::id(), std::thread::current().id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("a folder");
     std::fs::write(folder.join("client"), "sesame").expect("written");
     let mode = std::fs::Permissions::from_mode(0o600);
     std::fs::set_permissions(folder.join("client"), mode).expect("set");
-    std::fs::write(folder.join("s.jsonnet"), SETTINGS).expect("written");
+    std::fs::write(folder.join("s.jsonnet"), text).expect("written");
     let loaded = load(&folder.join("s.jsonnet")).expect("good settings");
     let _ = std::fs::remove_dir_all(&folder);
     loaded
@@ -73,8 +79,12 @@
 
 impl Host {
     pub fn new() -> Host {
+        Host::with(&settings())
+    }
+
+    pub fn with(loaded: &Loaded) -> Host {
         let now = 1_000_000 * S;
-        let core = Core::new(&settings(), 7, now).expect("good settings");
+        let core = Core::new(loaded, 7, now).expect("good settings");
         let mut host = Host {
             core,
             now,
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -60,7 +60,7 @@
         }
     }
     let limit = deadline.min(Instant::now() + connect);
-    let stream = match until(limit, Async::<TcpStream>::connect(to)).await {
+    let stream = match until(limit, pool.connect(to)).await {
         Timed::Done(Ok(stream)) => stream,
         Timed::Done(Err(e)) if exhausted(&e) => return End::NotTried,
         Timed::Done(Err(_)) => return End::NotConnected,
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -1,9 +1,10 @@
 //! Idle connections, a few to each address.
 
 use async_io::Async;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -18,12 +19,42 @@
     most: usize,
     life: Duration,
     strays: AtomicU64,
+    source: Option<IpAddr>,
 }
 
 impl Pool {
     /// A pool of so many to each address, for so long.
     pub fn new(most: usize, life: Duration) -> Pool {
-        Pool { idle: Mutex::default(), most, life, strays: AtomicU64::new(0) }
+        Pool { idle: Mutex::default(), most, life, strays: AtomicU64::new(0), source: None }
+    }
+
+    /// New connections go out from this address.
+    #[must_use]
+    pub fn from(self, source: Option<IpAddr>) -> Pool {
+        Pool { source, ..self }
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    /// Those of the system.
+    pub async fn connect(&self, to: SocketAddr) -> std::io::Result<Async<TcpStream>> {
+        let Some(source) = self.source else { return Async::<TcpStream>::connect(to).await };
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            // EINPROGRESS: it stands, or failed, once the socket can be written.
+            Err(e) if e.raw_os_error() == Some(115) || e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        let stream = Async::new(TcpStream::from(socket))?;
+        stream.writable().await?;
+        match stream.get_ref().take_error()? {
+            Some(error) => Err(error),
+            None => Ok(stream),
+        }
     }
 
     /// The idle connection used last, if one is open.
--- a/crates/rig/src/bench.rs
+++ b/crates/rig/src/bench.rs
@@ -177,7 +177,7 @@
         ["introspection", "--listen", "127.0.0.1:0", "--authorization", &authorization, "--delay-ms", "0"];
     let mut tokens = Process::start(program, "introspection", &args, &log)?;
     let introspection = tokens.address()?;
-    let (door, admin) = (crate::fleet::any_port()?, crate::fleet::any_port()?);
+    let ([door, admin], _held) = crate::fleet::some_ports()?;
     let insurers: serde_json::Map<_, _> =
         (0..8).map(|k| (format!("bench-{k}"), json!({ "plan": "wide" }))).collect();
     let settings = json!({
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -12,7 +12,6 @@
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -70,6 +69,7 @@
     pub facts: Facts,
     gateways: Vec<GatewaySlot>,
     introspection: Option<Process>,
+    ports: Ports,
 }
 
 /// A run's processes.
@@ -88,23 +88,58 @@
     pool: Pool,
 }
 
-fn free_port(taken: &mut BTreeSet<u16>) -> Result<SocketAddr, String> {
-    for _ in 0..1_000 {
-        let port = rand::rng().random_range(PORTS);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() && taken.insert(port) {
-            return Ok(address);
+/// Ports of a run. Runs side by side claim blocks: the first port of a block is held bound while the run
+/// lasts, the others are the run's. Guards against two runs that find the same port free, and whose
+/// clients then talk to each other's gateways.
+#[derive(Debug, Default)]
+struct Ports {
+    held: Vec<TcpListener>,
+    next: u16,
+    end: u16,
+}
+
+/// Ports of a block.
+const BLOCK: u16 = 100;
+
+impl Ports {
+    fn take(&mut self) -> Result<SocketAddr, String> {
+        loop {
+            if self.next == self.end {
+                self.claim()?;
+            }
+            let address = SocketAddr::from(([127, 0, 0, 1], self.next));
+            self.next += 1;
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return Ok(address);
+            }
+        }
+    }
+
+    fn claim(&mut self) -> Result<(), String> {
+        let blocks = (PORTS.end - PORTS.start) / BLOCK;
+        let from = rand::rng().random_range(0..blocks);
+        for k in 0..blocks {
+            let first = PORTS.start + (from + k) % blocks * BLOCK;
+            if let Ok(listener) = TcpListener::bind(("127.0.0.1", first)) {
+                self.held.push(listener);
+                (self.next, self.end) = (first + 1, first + BLOCK);
+                return Ok(());
+            }
         }
+        Err("no free ports".into())
     }
-    Err("no free port".into())
 }
 
-/// Some free port, for a process that cannot choose its own.
+/// Some free ports, for processes that cannot choose their own; they are this run's while the holds live.
 ///
 /// # Errors
-/// There is none.
-pub fn any_port() -> Result<SocketAddr, String> {
-    free_port(&mut BTreeSet::new())
+/// There are none.
+pub fn some_ports<const N: usize>() -> Result<([SocketAddr; N], Vec<TcpListener>), String> {
+    let (mut ports, mut all) = (Ports::default(), [SocketAddr::from(([127, 0, 0, 1], 0)); N]);
+    for place in &mut all {
+        *place = ports.take()?;
+    }
+    Ok((all, ports.held))
 }
 
 /// Lays one value over another: objects member by member, all else whole.
@@ -144,17 +179,18 @@
         seed: u64,
         backplane: SocketAddr,
     ) -> Result<Fleet, String> {
-        let mut taken = BTreeSet::new();
+        let mut ports = Ports::default();
         let count = scenario.gateways.count;
-        let mut addresses = || (0..count).map(|_| free_port(&mut taken)).collect::<Result<Vec<_>, _>>();
+        let mut addresses = || (0..count).map(|_| ports.take()).collect::<Result<Vec<_>, _>>();
         let (doors, admins, peers) = (addresses()?, addresses()?, addresses()?);
-        let introspection = free_port(&mut taken)?;
+        let introspection = ports.take()?;
         let state = State {
             nodes: vec![],
             rng: dice(seed, "script"),
             facts: Facts::default(),
             gateways: admins.iter().map(|a| GatewaySlot { admin: *a, process: None }).collect(),
             introspection: None,
+            ports,
         };
         let pool = Pool::new(4, Duration::from_secs(5));
         let fleet = Fleet {
@@ -236,6 +272,7 @@
             "gateway": {
                 "number": me, "zone": s.zones[me % s.zones.len()],
                 "listen": self.doors[me].to_string(), "admin": admins[me].to_string(),
+                "source": self.source(me).to_string(),
             },
             "fleet": {
                 "gateways": s.gateways.count,
@@ -263,6 +300,12 @@
         settings
     }
 
+    /// Where a gateway's connections come from: an address of its own on loopback, so that paths can be cut.
+    pub fn source(&self, gateway: usize) -> std::net::IpAddr {
+        let zone = (gateway % self.scenario.zones.len()) as u8;
+        std::net::Ipv4Addr::new(127, 0, zone + 1, (gateway + 1) as u8).into()
+    }
+
     /// Every insurer: name, plan, first gateway, spread, what it asks in quotas.
     pub fn insurers(&self) -> Vec<(String, String, usize, usize, f64)> {
         let mut rng = dice(self.seed, "insurers");
@@ -290,8 +333,7 @@
             let mut s = self.state();
             let speed = n.speed[0] + (n.speed[1] - n.speed[0]) * s.rng.random::<f64>();
             let zone = self.scenario.zones[number % self.scenario.zones.len()].clone();
-            let mut taken = s.nodes.iter().map(|n| n.address.port()).collect();
-            let address = free_port(&mut taken)?;
+            let address = s.ports.take()?;
             let (listed, started_ms, busy, lives, process) = (Listed::Ready, 0, false, 0, None);
             s.nodes.push(NodeSlot { address, zone, listed, started_ms, busy, speed, lives, process });
             s.nodes.len() - 1
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -210,9 +210,13 @@
         let targets = targets.as_object().into_iter().flatten();
         targets.filter_map(move |(to, l)| Some(((from.clone(), to.clone()), l.get("rate")?.as_f64()?)))
     });
+    let names = &s.zones;
+    let every =
+        names.iter().flat_map(|a| names.iter().map(move |b| (a.clone(), b.clone()))).filter(|(a, b)| a != b);
+    let every = every.filter_map(|pair| Some((pair, s.expect.spill?)));
     let terms = Terms {
         zones: (0..s.gateways.count).map(|k| s.zones[k % s.zones.len()].clone()).collect(),
-        spill: pairs.collect(),
+        spill: every.chain(pairs).collect(),
         effects: s.classes.iter().map(|(n, c)| (n.clone(), (c.effect, c.window_ms * 1_000))).collect(),
         plans: named.iter().map(|i| (i.0.clone(), s.plans[&i.1].clone())).collect(),
         late: s.expect.late_ms * 1_000,
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -182,13 +182,15 @@
     /// Most time past its patience at which a client still counts an answer as given in time, milliseconds:
     /// for the way back and the scheduling of one busy machine.
     pub late_ms: u64,
+    /// Most attempts from a zone to another in any second, where the settings have no limit of their own.
+    pub spill: Option<f64>,
     /// Gateways must end with exit code 0 at SIGTERM.
     pub clean_end: bool,
 }
 
 impl Default for Expect {
     fn default() -> Self {
-        Expect { operations: 0, served: 0.0, failed: 1.0, late_ms: 100, clean_end: true }
+        Expect { operations: 0, served: 0.0, failed: 1.0, late_ms: 100, spill: None, clean_end: true }
     }
 }
 
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -261,6 +261,16 @@
                     wait(*up).await;
                 }
             }
+            ZoneCut { from, to, len } => {
+                let nodes = self.take_zone(to)?;
+                let zones = &fleet.scenario.zones;
+                let theirs = (0..fleet.doors.len()).filter(|k| zones[k % zones.len()] == *from);
+                let cut: Vec<_> = theirs.map(|k| fleet.source(k)).collect();
+                self.knob(&nodes, Control { cut: Some(cut), ..Control::default() }).await;
+                wait(*len).await;
+                self.knob(&nodes, Control { cut: Some(vec![]), ..Control::default() }).await;
+                self.free_nodes(&nodes);
+            }
             ZoneSlow { zone, times, len } => {
                 let nodes = self.take_zone(zone)?;
                 self.knob(&nodes, Control { slow: Some(*times), ..Control::default() }).await;
--- a/crates/rig/src/steps.rs
+++ b/crates/rig/src/steps.rs
@@ -61,6 +61,8 @@
     ZoneDark { zone: String, len: f64 },
     /// A zone dies and comes back, again and again: `down` and `up` seconds, so many `times`.
     ZoneFlap { zone: String, times: u32, down: f64, up: f64 },
+    /// The path from the gateways of one zone to the nodes of another is cut: no word comes back.
+    ZoneCut { from: String, to: String, len: f64 },
     /// Every node of a zone takes `times` as long.
     ZoneSlow { zone: String, times: f64, len: f64 },
     /// Every node of a zone stands still: connections stand, nothing answers.
--- a/crates/rig/tests/runs.rs
+++ b/crates/rig/tests/runs.rs
@@ -22,9 +22,13 @@
 }"#;
 
 fn day(steps: &str, served: &str) -> (i32, Value, String) {
+    play(&DAY.replace("STEPS", steps).replace("SERVED", served))
+}
+
+fn play(text: &str) -> (i32, Value, String) {
     let folder = Folder::new(None).expect("a folder");
     let path = folder.path().join("day.jsonnet");
-    std::fs::write(&path, DAY.replace("STEPS", steps).replace("SERVED", served)).expect("written");
+    std::fs::write(&path, text).expect("written");
     let out = Command::new(PROGRAM).arg("run").arg(&path).args(["--seed", "3"]).output().expect("it runs");
     let said = String::from_utf8(out.stdout).expect("text");
     let last = said.lines().last().unwrap_or_default();
@@ -51,6 +55,17 @@
     assert!(line["latency_ms"]["p99"].as_f64() > Some(1.0));
 }
 
+#[test]
+fn a_zone_lost_cut_off_and_back_keeps_the_limit_and_the_rules() {
+    let policy = "zone_policy: { tiers: { a: [['a'], ['b']], b: [['b'], ['a']] }, limits: { a: { b: { rate: 12 } }, b: { a: { rate: 12 } } },
+        hold_ms: 500, ramp_ms: 1500 }, introspection:";
+    let steps = "[{ at: 1, do: 'zone_dark', zone: 'a', len: 1.5 }, { at: 4.2, do: 'zone_cut', from: 'b', to: 'b', len: 0.7 }]";
+    let text = DAY.replace("introspection:", policy).replace("STEPS", steps).replace("SERVED", "0.2");
+    let (code, line, said) = play(&text);
+    assert_eq!((code, &line["verdict"]), (0, &Value::from("pass")), "{line} {said}");
+    assert_eq!(line["rules"]["spill"], 0);
+}
+
 #[test]
 fn an_expectation_that_is_not_met_ends_with_code_1() {
     let (code, line, _) = day("[]", "1.1");
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -47,6 +47,8 @@
     pub zone: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Connections to nodes go out from this address; none: the system chooses.
+    pub source: Option<std::net::IpAddr>,
     /// Where staff connect: `/metrics`, `/status`. Keep it on a local address.
     pub admin: SocketAddr,
 }
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -176,3 +176,30 @@
     let faults = load(&folder.write("c.jsonnet", &plans)).expect("good").needs_restart(&old);
     assert_eq!(faults.iter().map(|f| f.path.as_str()).collect::<Vec<_>>(), ["plans", "zones"]);
 }
+
+const ZONES: &str = "zones: ['a', 'b'],
+  zone_policy: {
+    tiers: { a: [['a'], ['b']], b: [['b'], ['a']] },
+    limits: { a: { b: { rate: 30, share: 0.5 } } },
+  },";
+
+#[test]
+fn zone_policies_that_make_no_sense_are_told_with_their_paths() {
+    let folder = Folder::new("zones");
+    let good = ("zones: ['a', 'b'],", ZONES);
+    assert_eq!(folder.faults(&[good]), Vec::<String>::new());
+    for (from, to, want) in [
+        ("b: [['b'], ['a']]", "b: [['b'], ['x']]", "zone_policy.tiers.b[1]: names the unknown zone 'x'"),
+        ("b: [['b'], ['a']]", "b: [['b'], ['a', 'b']]", "zone_policy.tiers.b[1]: names 'b' again: a cycle"),
+        ("b: [['b'], ['a']]", "b: []", "zone_policy.tiers.b: has no first tier"),
+        (", b: [['b'], ['a']]", "", "zone_policy.tiers: has none for this gateway's zone"),
+        ("share: 0.5", "share: 1.5", "zone_policy.limits.a.b.share: is not over 0 and up to 1"),
+        ("rate: 30, share", "rate: -3, share", "zone_policy.limits.a.b.rate: is under 2 a second"),
+        ("{ b: { rate", "{ a: { rate", "zone_policy.limits.a.a: is not another zone"),
+        ("if k < 2 then 'a' else 'b'", "'a'", "zone_policy.tiers.a[1]: names 'b', which has no nodes"),
+        ("share: 0.5", "shear: 0.5", "zone_policy.limits.a.b.shear: unknown field `shear`"),
+    ] {
+        let faults = folder.faults(&[good, (from, to)]);
+        assert!(faults.iter().any(|f| f.starts_with(want)), "{want} not in {faults:#?}");
+    }
+}
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -91,6 +91,8 @@
     pub slow: Option<f64>,
     /// Turn new requests away, with the proof.
     pub draining: Option<bool>,
+    /// Addresses whose gateways get no word from here: the path is cut.
+    pub cut: Option<Vec<IpAddr>>,
     /// Tell the meter's figures no more, or again.
     pub meter: Option<bool>,
 }
@@ -204,6 +206,10 @@
         if request.head.target() == "/_control" {
             return self.control(&request.body);
         }
+        let cut = self.state.lock().ok().and_then(|s| s.trouble.cut.clone()).unwrap_or_default();
+        if cut.contains(&request.from.ip()) {
+            return std::future::pending().await;
+        }
         if request.head.target() == "/health" {
             return self.health().await;
         }
@@ -368,6 +374,7 @@
         t.full_rate = c.full_rate.or(t.full_rate);
         t.slow = c.slow.or(t.slow);
         t.draining = c.draining.or(t.draining);
+        t.cut = c.cut.or(t.cut.take());
         t.meter = c.meter.or(t.meter);
         Act::json(200, &json!({ "running": s.running, "waiting": s.waiting.len() }))
     }
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -6,7 +6,7 @@
 use frostgauge_proto::http::{write_response, Body, BodyReader, Head, HeadReader, Limits};
 use futures_lite::AsyncWriteExt;
 use std::future::Future;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 
 /// Connections that a stand-in takes at once.
@@ -19,6 +19,8 @@
     pub head: Head,
     /// Its content.
     pub body: Vec<u8>,
+    /// Where it came from.
+    pub from: SocketAddr,
 }
 
 /// What to do about it.
@@ -59,19 +61,23 @@
 {
     let (_open, closing) = Closing::new();
     let places = Places::new(MOST);
-    frostgauge_net::accept(&listener, &places, &closing, |stream, _, place| {
+    frostgauge_net::accept(&listener, &places, &closing, |stream, from, place| {
         let handler = handler.clone();
         executor
             .spawn(async move {
                 let _place = place;
-                let _ = connection(&stream, handler).await;
+                let _ = connection(&stream, from, handler).await;
             })
             .detach();
     })
     .await;
 }
 
-async fn connection<F>(mut stream: &Async<TcpStream>, handler: impl Fn(Request) -> F) -> std::io::Result<()>
+async fn connection<F>(
+    mut stream: &Async<TcpStream>,
+    from: SocketAddr,
+    handler: impl Fn(Request) -> F,
+) -> std::io::Result<()>
 where
     F: Future<Output = Act>,
 {
@@ -102,7 +108,7 @@
             }
         }
         let (keep, mut out) = (head.persists(), Vec::new());
-        match handler(Request { head, body }).await {
+        match handler(Request { head, body, from }).await {
             Act::Answer { status, fields, body, chunked } => {
                 let fields = fields.iter().map(|(n, v)| (*n, v.as_bytes()));
                 let body = if chunked { Body::Chunked(&body) } else { Body::Whole(&body) };
--- /dev/null
+++ b/crates/zones/benches/open.rs
@@ -0,0 +1,56 @@
+//! Time of one attempt's questions about zones: the question, the send, the outcome.
+
+use criterion::{criterion_group, criterion_main, Criterion};
+use frostgauge_zones::{Ask, Config, End, Limit, Node, Zones};
+
+const S: u64 = 1_000_000;
+const T: u64 = 1_800_000_000 * S;
+
+fn zones(nodes: u64) -> Zones {
+    let limit = Some(Limit { rate: 200.0, share: 0.3 });
+    let config = Config {
+        me: 5,
+        gateways: 400,
+        zones: 3,
+        tiers: vec![vec![0], vec![1, 2]],
+        limits: vec![limit; 3],
+        overprovision: 1.4,
+        hold: 2 * S,
+        hold_most: 60 * S,
+        calm: 30 * S,
+        ramp: 10 * S,
+        check_every: S / 2,
+        cold: (10 * S, 0.2),
+    };
+    let mut zones = Zones::new(config, T);
+    let list: Vec<Node> =
+        (0..nodes).map(|id| Node { id, zone: (id % 3) as u32, ready: true, started: 0 }).collect();
+    zones.list(T, &list);
+    zones
+}
+
+fn one(zones: &mut Zones, now: &mut u64, k: &mut u64) {
+    *now += 5_000;
+    *k += 1;
+    let bits = zones.open(*now, Ask { safe: *k % 2 == 0, worth: (*k % 3) as f64 });
+    let zone = bits.trailing_zeros();
+    if zone < 3 {
+        zones.sent(*now, zone);
+        zones.ended(*now, zone, u64::from(zone) + 3 * (*k % 20), *now - 1_000, End::Answered);
+    }
+}
+
+fn open(c: &mut Criterion) {
+    let mut group = c.benchmark_group("zones, 3 zones, 86 nodes");
+    for (name, lost) in [("all at home", false), ("home lost", true)] {
+        let (mut zones, mut now, mut k) = (zones(86), T + 10 * S, 0);
+        if lost {
+            zones.drain(now, 0, true);
+        }
+        group.bench_function(name, |b| b.iter(|| one(&mut zones, &mut now, &mut k)));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, open);
+criterion_main!(benches);
--- a/crates/zones/src/health.rs
+++ b/crates/zones/src/health.rs
@@ -11,6 +11,9 @@
 const GOOD: u32 = 2;
 /// Memory of a zone's usual size, microseconds: a fleet made smaller for good is the usual after this.
 const USUAL: f64 = 60e6;
+/// A zone dark for this long though the list has its nodes, microseconds: over any lag of the list seen, so that
+/// it is the path from here, or a service behind the nodes' backs, that fails.
+const LISTED_ALL_THE_WHILE: Micros = 10_000_000;
 /// Nodes checked at a time.
 const CHECKED: usize = 3;
 
@@ -48,6 +51,7 @@
     next: usize,
     listed: bool,
     drained: bool,
+    told: bool,
 }
 
 type Changed = Option<(Phase, &'static str)>;
@@ -72,6 +76,7 @@
             next: 0,
             listed: false,
             drained: false,
+            told: false,
         }
     }
 
@@ -133,6 +138,7 @@
         }
         self.phase = phase;
         self.since = now;
+        self.told = false;
         self.good = 0;
         Some((phase, why))
     }
@@ -243,6 +249,10 @@
     pub(crate) fn advance(&mut self, now: Micros, config: &Config) -> Changed {
         let age = now.saturating_sub(self.since);
         match self.phase {
+            Phase::Dark if age >= LISTED_ALL_THE_WHILE && !self.told && !self.drained && !self.nobody() => {
+                self.told = true;
+                Some((Phase::Dark, "the list has its nodes all the while: the path from here may be cut"))
+            }
             Phase::Held if age >= self.hold(config) => self.turn(now, Phase::Ramp, "the hold is over"),
             Phase::Ramp if age >= config.ramp => self.turn(now, Phase::Home, "the ramp is done"),
             Phase::Home if self.flaps > 0 && age >= config.calm => {
--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -219,6 +219,22 @@
     assert_eq!(host.zones.checks(host.now + S).len(), 3);
 }
 
+#[test]
+fn a_zone_dark_for_long_while_the_list_has_it_is_told_as_a_cut_path() {
+    let mut host = Host::new();
+    host.down = vec![0];
+    host.run(2 * S, 20, READ);
+    assert_eq!(host.zones.changes().len(), 1);
+    host.run(20 * S, 20, READ);
+    let changes = host.zones.changes();
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert!(changes[0].phase == Phase::Dark && changes[0].why.contains("path"));
+    // One that the list has not got is simply gone.
+    host.zones.list(host.now, &nodes(&[0, 1]));
+    host.run(20 * S, 20, READ);
+    assert!(host.zones.changes().iter().all(|c| c.zone != 2 || !c.why.contains("path")));
+}
+
 #[test]
 fn the_last_node_of_a_zone_draining_and_a_zone_of_one_node() {
     let mut host = Host::new();
