Gone nodes' addresses are forgotten; tests of a halved target and of two zones lost

Need: node addresses and zones of nodes long gone stayed in memory for ever where nodes come and go; two hard cases of zones had no test. Change: addresses are kept while listed or while attempts are out; tests of capacity that halves during the spill and of two zones lost at once.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -253,7 +253,9 @@
 
     fn learn_addresses(&mut self) {
         let loaded = self.handle.loaded();
-        // Addresses of nodes gone stay known while attempts are out; they are few.
+        // Addresses of nodes gone stay known while attempts are out, and no longer: nodes come and go for years.
+        let out: std::collections::BTreeSet<ServerId> = self.running.values().map(|r| r.server).collect();
+        self.addresses.retain(|server, _| out.contains(server));
         self.addresses.extend(loaded.nodes.iter().map(|n| (n.entry.server, n.address)));
         let mut wanted: Vec<SocketAddr> = loaded.nodes.iter().map(|n| n.address).collect();
         wanted.push(loaded.introspection().address);
--- a/crates/gateway/src/zone_gate.rs
+++ b/crates/gateway/src/zone_gate.rs
@@ -70,7 +70,7 @@
 
     /// Takes the whole list.
     pub fn list(&mut self, now: Micros, entries: &[frostgauge::Entry]) {
-        self.places.extend(entries.iter().map(|e| (e.server, e.zone)));
+        self.places = entries.iter().map(|e| (e.server, e.zone)).collect();
         let Some(zones) = &mut self.zones else { return };
         let ready = |e: &frostgauge::Entry| e.state == frostgauge::State::Ready;
         let nodes: Vec<Node> = entries
--- a/crates/zones/benches/open.rs
+++ b/crates/zones/benches/open.rs
@@ -32,7 +32,7 @@
 fn one(zones: &mut Zones, now: &mut u64, k: &mut u64) {
     *now += 5_000;
     *k += 1;
-    let bits = zones.open(*now, Ask { safe: *k % 2 == 0, worth: (*k % 3) as f64 });
+    let bits = zones.open(*now, Ask { safe: (*k).is_multiple_of(2), worth: (*k % 3) as f64 });
     let zone = bits.trailing_zeros();
     if zone < 3 {
         zones.sent(*now, zone);
--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -107,6 +107,36 @@
     }
 }
 
+#[test]
+fn a_target_whose_capacity_halves_is_sent_half_as_much_once_its_reports_show_it() {
+    let mut host = Host::new();
+    host.down = vec![0, 2];
+    // Four nodes that do twenty a second each: a quarter of that is twenty.
+    let mut config = config(0, 1);
+    config.limits[1] = Some(Limit { rate: 50.0, share: 0.25 });
+    host.zones = Zones::new(config, T);
+    host.zones.list(T, &nodes(&[0, 1, 2]));
+    let mut spilled = |host: &mut Host, per_node: f64| {
+        for _ in 0..200 {
+            host.zones.reported(1, 2.0, 0.5, 2.0 / (0.5 * per_node));
+        }
+        host.run(10 * S, 200, READ)[1]
+    };
+    let (whole, half) = (spilled(&mut host, 20.0), spilled(&mut host, 10.0));
+    assert!((150..=210).contains(&whole) && (75..=110).contains(&half), "{whole} {half}");
+}
+
+#[test]
+fn two_zones_lost_at_once_leave_the_third_its_limit() {
+    let mut host = Host::new();
+    host.down = vec![0, 1];
+    let [_, first, second, refused] = host.run(20 * S, 200, READ);
+    assert!(first <= 10 && (700..=1000).contains(&second) && refused > 2500, "{first} {second} {refused}");
+    host.down.clear();
+    host.run(20 * S, 200, READ);
+    assert_eq!(host.run(S, 100, READ), [100, 0, 0, 0]);
+}
+
 #[test]
 fn when_spill_is_short_the_dearest_have_it() {
     let mut host = Host::new();
