--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -52,8 +52,10 @@
     pub running: Vec<Job>,
     pub waiting: VecDeque<Job>,
     window: VecDeque<(Micros, bool)>,
-    /// It fell over though most of what came was sent by those who knew of its start.
+    /// It fell over, and stays down.
     pub fell: bool,
+    /// Most of what pushed it over was sent by those who knew of its start.
+    pub knew: bool,
 }
 
 impl Node {
@@ -69,6 +71,7 @@
             waiting: VecDeque::new(),
             window: VecDeque::new(),
             fell: false,
+            knew: false,
         }
     }
 
@@ -112,7 +115,8 @@
             // A little slack for chance, as the rule has it.
             if self.window.len() as f64 > self.make.fall_multiple * able + 3.0 {
                 let knew = self.window.iter().filter(|w| w.1).count();
-                self.fell |= knew * 3 >= self.window.len() * 2;
+                self.fell = true;
+                self.knew = knew * 3 >= self.window.len() * 2;
                 return Taken::Fell(self.die());
             }
         }
--- a/crates/rig/src/search.rs
+++ b/crates/rig/src/search.rs
@@ -54,6 +54,7 @@
         "asked": sum(|o| o.asked), "served": sum(|o| o.served), "refused_zone": sum(|o| o.refused_zone),
         "most_spill_of_limit": most,
         "days_over_limit": outcomes.iter().filter(|(_, o)| o.spill > 1.0).count(),
+        "nodes_pushed_over_unknown": sum(|o| u64::from(o.fell_unknown)),
         "nodes_pushed_over": sum(|o| u64::from(o.fell)), "answers_wrong": sum(|o| o.answers_wrong),
         "zones_away": sum(|o| o.away), "days_broken": broken.len(),
         "virtual_s_per_s": virtual_s / began.elapsed().as_secs_f64(),
