--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -116,7 +116,7 @@
     config.limits[1] = Some(Limit { rate: 50.0, share: 0.25 });
     host.zones = Zones::new(config, T);
     host.zones.list(T, &nodes(&[0, 1, 2]));
-    let mut spilled = |host: &mut Host, per_node: f64| {
+    let spilled = |host: &mut Host, per_node: f64| {
         for _ in 0..200 {
             host.zones.reported(1, 2.0, 0.5, 2.0 / (0.5 * per_node));
         }
