--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -29,6 +29,9 @@
         /// The gateway's admin address.
         #[arg(long)]
         admin: SocketAddr,
+        /// The zones alone.
+        #[arg(long)]
+        zones: bool,
         /// As JSON.
         #[arg(long)]
         json: bool,
@@ -71,7 +74,7 @@
                 ExitCode::from(2)
             }
         },
-        Command::Status { admin, json } => status::show(admin, json),
+        Command::Status { admin, zones, json } => status::show(admin, zones, json),
         Command::Zones { admin, word, zone } => status::zone(admin, &zone, &word),
         Command::Demo { seed, out } => demo::play(seed, out),
     }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -9,11 +9,19 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 /// Prints how a gateway stands; exit code 1 if it does not answer.
-pub(crate) fn show(admin: SocketAddr, json: bool) -> ExitCode {
+pub(crate) fn show(admin: SocketAddr, zones: bool, json: bool) -> ExitCode {
     let page = futures_lite::future::block_on(frostgauge_gateway::admin::fetch(admin, "/status", PATIENCE));
     match page.and_then(|text| serde_json::from_str::<Value>(&text).map_err(|e| format!("{admin}: {e}"))) {
         Ok(status) => {
-            print!("{}", if json { format!("{status:#}\n") } else { table(&status) });
+            let status = if zones { serde_json::json!({ "zones": status["zones"] }) } else { status };
+            print!(
+                "{}",
+                match (json, zones) {
+                    (true, _) => format!("{status:#}\n"),
+                    (_, true) => zone_lines(&status),
+                    _ => table(&status),
+                }
+            );
             ExitCode::SUCCESS
         }
         Err(reason) => {
@@ -79,6 +87,17 @@
     for (kind, row) in status["latency_ms"].as_object().into_iter().flatten() {
         out += &format!("  {kind:<10}p50 {} ms, p99 {} ms\n", row["p50"], row["p99"]);
     }
+    out += &zone_lines(status);
+    for node in status["nodes"].as_array().into_iter().flatten() {
+        let word = |name: &str| node[name].as_str().unwrap_or("-").to_owned();
+        out += &format!("  node {:<22}{:<14}{}\n", word("address"), word("zone"), word("state"));
+    }
+    out
+}
+
+/// A line for each zone.
+fn zone_lines(status: &Value) -> String {
+    let mut out = String::new();
     for zone in status["zones"].as_array().into_iter().flatten() {
         let at = |name: &str| zone[name].as_str().map_or_else(|| zone[name].to_string(), str::to_owned);
         out +=
@@ -88,9 +107,5 @@
             at("spill_per_s"), at("short"),
         );
     }
-    for node in status["nodes"].as_array().into_iter().flatten() {
-        let word = |name: &str| node[name].as_str().unwrap_or("-").to_owned();
-        out += &format!("  node {:<22}{:<14}{}\n", word("address"), word("zone"), word("state"));
-    }
     out
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -326,6 +326,9 @@
                 self.core.handle(now, Input::Introspected { flight, answer }, out);
             }
             Message::Probed { server, ended } => {
+                let ok = if ended.status == Status::Ok { "yes" } else { "no" };
+                let told = if ended.load.is_some() { "yes" } else { "no" };
+                metrics::counter!("frostgauge_probes", "ok" => ok, "load" => told).increment(1);
                 let input = Input::Probed { server, status: ended.status, load: ended.load };
                 self.core.handle(now, input, out);
             }
--- a/crates/rig/tests/front.rs
+++ b/crates/rig/tests/front.rs
@@ -123,3 +123,16 @@
     assert_eq!(body.answer().expect("an answer").status, 408);
     assert!(small.noted(What::Recv).iter().all(|l| l.op != "op-2"));
 }
+
+#[test]
+fn nodes_that_report_to_probes_alone_are_probed() {
+    let small = small(&[("limits: {", "limits: { reports: 'probe', probe_path: '/health',")]);
+    let mut client = small.client();
+    let mut k = 0;
+    // The decisions probe as requests pay for it: some must flow.
+    until("a probe has brought a load", || {
+        k += 1;
+        assert_eq!(client.ask(&report(&format!("op-{k}"))).status, 200);
+        k % 20 == 0 && small.metrics().contains("frostgauge_probes{ok=\"yes\",load=\"yes\"}")
+    });
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Whether a file makes sense as a whole; nothing is decided here.
 
-use crate::{Effect, Fault, File, ZonePolicy};
+use crate::{Effect, Fault, File, Reports, ZonePolicy};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) struct Checks(pub Vec<Fault>);
@@ -223,6 +223,8 @@
         "limits.drain_ms",
         "is under the longest patience_ms: a drain would cut answers off",
     );
+    let probed = l.reports != Reports::Probe || l.probe_path.is_some();
+    c.that(probed, "limits.probe_path", "is missing beside reports: 'probe'");
     if let Some(path) = &l.probe_path {
         c.that(
             path.starts_with('/') && path.bytes().all(|b| b.is_ascii_graphic()),
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -291,6 +291,19 @@
     }
 }
 
+/// How nodes report their load.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Reports {
+    /// With every answer.
+    #[default]
+    Answers,
+    /// With answers to probes alone; needs `probe_path`.
+    Probe,
+    /// Not at all.
+    None,
+}
+
 /// Bounds on what is held, and times after which something is given up.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
@@ -327,6 +340,8 @@
     pub attempts: u32,
     /// The longest `Retry-After` given, milliseconds.
     pub retry_after_ms: u64,
+    /// How nodes report their load.
+    pub reports: Reports,
     /// Probes of nodes are allowed; `Some` of their path.
     pub probe_path: Option<String>,
     /// Period of the use that nodes tell in answers; 0 if they tell none.
@@ -354,6 +369,7 @@
             answer_margin_ms: 20,
             attempts: 4,
             retry_after_ms: 5_000,
+            reports: Reports::Answers,
             probe_path: None,
             meter_ms: 0,
             drain_ms: 10_000,
--- a/crates/settings/src/loaded.rs
+++ b/crates/settings/src/loaded.rs
@@ -142,11 +142,11 @@
         c.that(new.zone_policy == old.zone_policy, "zone_policy", reason);
         let kept = new.zones.get(..old.zones.len()) == Some(&old.zones[..]);
         c.that(kept, "zones", "takes one away or changes their order; that needs a restart");
-        let l = |l: &Limits| (l.attempts, l.retry_after_ms, l.probe_path.clone(), l.meter_ms);
+        let l = |l: &Limits| (l.attempts, l.retry_after_ms, l.reports, l.probe_path.clone(), l.meter_ms);
         c.that(
             l(&new.limits) == l(&old.limits),
             "limits",
-            "changes attempts, retry_after_ms, probe_path or meter_ms; that needs a restart",
+            "changes attempts, retry_after_ms, reports, probe_path or meter_ms; that needs a restart",
         );
         c.0
     }
@@ -295,7 +295,11 @@
             peer_in_per_s: f.fleet.peer_in_per_s,
             marks_repeats: true,
             meter: f.limits.meter_ms * MS,
-            reports: frostgauge::Reports::Answers,
+            reports: match f.limits.reports {
+                crate::Reports::Answers => frostgauge::Reports::Answers,
+                crate::Reports::Probe => frostgauge::Reports::Probe,
+                crate::Reports::None => frostgauge::Reports::None,
+            },
             ..frostgauge::Allow::default()
         },
         rules: frostgauge::Rules {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -325,7 +325,9 @@
     /// Whether it is alive: a paused one does not answer.
     async fn health(&self) -> Act {
         self.awake().await;
-        Act::json(200, &json!({ "ok": true }))
+        let report = self.state.lock().map(|s| s.report).unwrap_or_default();
+        let fields = vec![(orca::FIELD, report.write())];
+        Act::Answer { status: 200, fields, body: b"{}".to_vec(), chunked: false }
     }
 
     async fn awake(&self) {
