--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -167,9 +167,11 @@
                 self.while_set(*part, *len, set, unset).await;
             }
             ReportLate { len } => {
-                let set = Control { meter: Some(false), ..Control::default() };
-                let unset = Control { meter: Some(true), ..Control::default() };
-                self.while_set(1.0, *len, set, unset).await;
+                // It stands in no other step's way: nodes may die meanwhile.
+                let all: Vec<usize> = (0..fleet.state().nodes.len()).collect();
+                self.knob(&all, Control { meter: Some(false), ..Control::default() }).await;
+                wait(*len).await;
+                self.knob(&all, Control { meter: Some(true), ..Control::default() }).await;
             }
             Pauses { part, pause_ms, every, len } => {
                 let (nodes, end) = (self.take_nodes(*part), Instant::now() + seconds(*len));
