Zones: signs that enter and leave the dark are settings; memory a zone measured

Need: the issue asks for the thresholds as settings and for the memory of a zone; they were constants and a guess.

Change: zone_policy.enter (3) and .leave (2), checked at load, in place of two constants; the zones bench prints bytes a zone.

--- a/crates/gateway/src/zone_gate.rs
+++ b/crates/gateway/src/zone_gate.rs
@@ -58,6 +58,8 @@
         calm: policy.calm_ms * MS,
         ramp: policy.ramp_ms * MS,
         check_every: policy.check_every_ms * MS,
+        enter: policy.enter,
+        leave: policy.leave,
         cold: (file.rules.cold_ms * MS, file.rules.cold_from),
     })
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -181,6 +181,8 @@
     {
         c.that(value > 0, format!("zone_policy.{name}"), "is zero");
     }
+    c.that((1..=100).contains(&p.enter), "zone_policy.enter", "is not between 1 and 100");
+    c.that((1..=100).contains(&p.leave), "zone_policy.leave", "is not between 1 and 100");
     c.that(p.hold_most_ms >= p.hold_ms, "zone_policy.hold_most_ms", "is under hold_ms");
     c.that(p.check_path.starts_with('/'), "zone_policy.check_path", "is no path");
     let z = &f.fleet.zones;
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -407,6 +407,20 @@
     /// The path that checks ask for; any answer counts.
     #[serde(default = "check_path")]
     pub check_path: String,
+    /// Dead ends in a row, at two nodes at least, that make a zone dark. Fewer: seen sooner, and sooner
+    /// mistaken; each costs an attempt.
+    #[serde(default = "enter")]
+    pub enter: u32,
+    /// Good checks in a row that end the dark.
+    #[serde(default = "leave")]
+    pub leave: u32,
+}
+
+fn enter() -> u32 {
+    3
+}
+fn leave() -> u32 {
+    2
 }
 
 fn overprovision() -> f64 {
--- a/crates/zones/benches/open.rs
+++ b/crates/zones/benches/open.rs
@@ -20,6 +20,8 @@
         calm: 30 * S,
         ramp: 10 * S,
         check_every: S / 2,
+        enter: 3,
+        leave: 2,
         cold: (10 * S, 0.2),
     };
     let mut zones = Zones::new(config, T);
@@ -52,5 +54,25 @@
     group.finish();
 }
 
-criterion_group!(benches, open);
+/// Resident bytes of this process.
+fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.trim().split(' ').next()?.parse().ok()).unwrap_or(f64::NAN) * 1024.0
+}
+
+/// Memory of one gateway's decisions, by the growth of this process with 2,000 of them.
+fn memory(_: &mut Criterion) {
+    let mut kept = vec![];
+    for nodes in [9, 86, 400] {
+        let before = resident();
+        let all: Vec<Zones> = (0..2_000).map(|_| zones(nodes)).collect();
+        let each = (resident() - before) / all.len() as f64;
+        println!("zones, 3 zones, {nodes} nodes: {:.0} bytes a gateway, {:.0} a zone", each, each / 3.0);
+        // What is freed would be used again, and the next size look smaller.
+        kept.push(all);
+    }
+}
+
+criterion_group!(benches, open, memory);
 criterion_main!(benches);
--- a/crates/zones/src/health.rs
+++ b/crates/zones/src/health.rs
@@ -3,12 +3,6 @@
 use crate::{Config, End, Micros, Node};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Dead ends in a row, each sent after the one before was known, that make a zone dark; they must be at
-/// two nodes at least, where there are so many. What was out when nodes died comes back all at once and
-/// counts as one: half of a zone gone is not a zone gone, since what is sent next finds the other half.
-const ROW: u32 = 3;
-/// Good checks in a row that end the dark: one may be luck on a path that flaps.
-const GOOD: u32 = 2;
 /// Memory of a zone's usual size, microseconds: a fleet made smaller for good is the usual after this.
 const USUAL: f64 = 60e6;
 /// A zone dark for this long though the list has its nodes, microseconds: over any lag of the list seen, so that
@@ -34,6 +28,8 @@
 #[derive(Clone, Debug)]
 pub struct Health {
     phase: Phase,
+    /// Dead ends in a row that make it dark; see [`Config::enter`].
+    enter: u32,
     since: Micros,
     flaps: u32,
     /// Nodes that the list calls ready, with their starts.
@@ -58,9 +54,10 @@
 
 impl Health {
     /// At home.
-    pub(crate) fn new(now: Micros) -> Health {
+    pub(crate) fn new(now: Micros, enter: u32) -> Health {
         Health {
             phase: Phase::Home,
+            enter,
             since: now,
             flaps: 0,
             ready: BTreeMap::new(),
@@ -102,7 +99,7 @@
 
     /// What was tried there of late kept failing, though the list has nodes of it.
     pub fn silent(&self) -> bool {
-        self.row >= ROW || !self.ready.is_empty() && self.dead.len() == self.ready.len()
+        self.row >= self.enter || !self.ready.is_empty() && self.dead.len() == self.ready.len()
     }
 
     /// Nodes that the list calls ready.
@@ -165,7 +162,7 @@
             return None;
         }
         if self.ready.is_empty() {
-            self.row = ROW;
+            self.row = self.enter;
             return self.lose(now, "the list has none of its nodes");
         }
         // New nodes in place of dead ones: what is known of the old says nothing of them.
@@ -202,7 +199,7 @@
                 self.row_nodes.clear();
                 self.tried = true;
                 self.good += 1;
-                if self.phase == Phase::Dark && !self.drained && self.good >= GOOD {
+                if self.phase == Phase::Dark && !self.drained && self.good >= config.leave {
                     return self.turn(now, Phase::Held, "its nodes answer checks");
                 }
             }
@@ -216,12 +213,11 @@
                 self.row += 1;
                 self.row_at = now;
                 self.row_nodes.insert(node);
-                let _ = config;
                 let several = self.row_nodes.len() >= 2.min(self.ready.len());
                 let all = self.dead.len() == self.ready.len();
                 // A zone that is coming back goes at the first sign: its nodes are cold, and few requests out.
                 let fragile = matches!(self.phase, Phase::Ramp | Phase::Held) && self.row >= 2;
-                if several && (self.row >= ROW || all && self.row >= 2) || fragile {
+                if several && (self.row >= self.enter || all && self.row >= 2.min(self.enter)) || fragile {
                     return self.lose(now, "what is sent there keeps failing");
                 }
             }
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -72,6 +72,12 @@
     pub ramp: Micros,
     /// Between two checks of a dark zone.
     pub check_every: Micros,
+    /// Dead ends in a row, each sent after the one before was known, that make a zone dark; they must be at
+    /// two nodes at least, where there are so many. What was out when nodes died comes back all at once and
+    /// counts as one: half of a zone gone is not a zone gone, since what is sent next finds the other half.
+    pub enter: u32,
+    /// Good checks in a row that end the dark: one may be luck on a path that flaps.
+    pub leave: u32,
     /// Time a cold node takes to be warm, and its share at the start.
     pub cold: (Micros, f64),
 }
@@ -165,7 +171,7 @@
         let limits = config.limits.iter().chain(std::iter::repeat(&None)).take(n);
         let spill = limits.map(|l| l.map(|l| Spill::new(l.rate, config.me, config.gateways, now)));
         Zones {
-            health: (0..n).map(|_| Health::new(now)).collect(),
+            health: (0..n).map(|_| Health::new(now, config.enter)).collect(),
             spill: spill.collect(),
             credit: vec![0.0; n],
             home_credit: 1.0,
--- a/crates/zones/tests/zones.rs
+++ b/crates/zones/tests/zones.rs
@@ -20,6 +20,8 @@
         calm: 30 * S,
         ramp: 10 * S,
         check_every: 500 * MS,
+        enter: 3,
+        leave: 2,
         cold: (10 * S, 0.2),
     }
 }
@@ -86,6 +88,26 @@
     }
 }
 
+#[test]
+fn the_settings_say_how_many_signs_enter_and_leave_the_dark() {
+    for (enter, leave) in [(1, 1), (5, 4)] {
+        let mut zones = Zones::new(Config { enter, leave, ..config(0, 1) }, T);
+        zones.list(T, &nodes(&[0, 1, 2]));
+        let phase = |z: &Zones| z.standing(T, 0).expect("a zone").phase;
+        for k in 0..u64::from(enter) + 1 {
+            // One sign is at one node; the rule asks for two. One node of four stays out of it: all dead would do.
+            assert_eq!(phase(&zones) == Phase::Dark, k >= u64::from(enter.max(2)), "{k} of {enter}");
+            zones.ended(T + k, 0, k % 3, T + k, End::Dead);
+        }
+        assert_eq!(phase(&zones), Phase::Dark);
+        for k in 0..u64::from(leave) {
+            assert_eq!(phase(&zones), Phase::Dark, "{k} of {leave}");
+            zones.ended(T + 100 + k, 0, k % 4, T + 100 + k, End::Answered);
+        }
+        assert_eq!(phase(&zones), Phase::Held);
+    }
+}
+
 #[test]
 fn all_goes_home_while_all_is_well() {
     assert_eq!(Host::new().run(10 * S, 100, READ), [1000, 0, 0, 0]);
