--- /dev/null
+++ b/crates/counter/src/storage.rs
@@ -0,0 +1,191 @@
+//! What the log needs of a folder of files.
+
+use rustix::fs::FlockOperation;
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, ErrorKind};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+/// A folder of files. Nothing is durable before a `sync` of the file that returned, no name before a
+/// `sync_folder`; after a failed sync nothing more may be believed of that file.
+pub trait Storage: Send {
+    /// Names of all files.
+    ///
+    /// # Errors
+    /// Those of the system, here and below.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// Reads some bytes of a file at a place; fewer than asked are no sign of its end, none at all is.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn read_at(&self, name: &str, at: u64, buf: &mut [u8]) -> io::Result<usize>;
+    /// Makes a new, empty file.
+    ///
+    /// # Errors
+    /// Those of the system; there is one of that name.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+    /// Writes at a place; on an error some of it may have been written.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn write_at(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts a file off.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()>;
+    /// Makes a file's bytes durable.
+    ///
+    /// # Errors
+    /// Those of the system; what was written since the last sync may be lost, whatever a later one says.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Makes names durable.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn sync_folder(&mut self) -> io::Result<()>;
+    /// Gives a file another name, in place of the one that may have it.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Where the folder is, for messages.
+    fn place(&self) -> String;
+}
+
+/// Reads a whole file.
+///
+/// # Errors
+/// Those of the system.
+pub fn read(storage: &(impl Storage + ?Sized), name: &str) -> io::Result<Vec<u8>> {
+    let (mut all, mut piece) = (vec![], vec![0; 256 << 10]);
+    loop {
+        match storage.read_at(name, all.len() as u64, &mut piece) {
+            Ok(0) => return Ok(all),
+            Ok(n) => all.extend_from_slice(&piece[..n]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Whether there is no room: `ENOSPC`, `EDQUOT`.
+pub fn no_room(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+}
+
+/// A folder on disk.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    open: BTreeMap<String, File>,
+    _lock: Option<File>,
+}
+
+/// The file whose lock tells that the folder is in use.
+const LOCK: &str = "lock";
+
+impl Disk {
+    /// Takes a folder for this process alone; makes it if there is none.
+    ///
+    /// # Errors
+    /// It cannot be made, or is in use: which folder, and by whom.
+    pub fn take(folder: &Path) -> Result<Disk, String> {
+        let fail = |e: io::Error| format!("{}: {e}", folder.display());
+        std::fs::create_dir_all(folder).map_err(fail)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .read(true)
+            .write(true)
+            .open(folder.join(LOCK))
+            .map_err(fail)?;
+        if rustix::fs::flock(&lock, FlockOperation::NonBlockingLockExclusive).is_err() {
+            let by = std::fs::read_to_string(folder.join(LOCK)).unwrap_or_default();
+            return Err(format!("{}: is in use by process {}", folder.display(), by.trim()));
+        }
+        lock.set_len(0).map_err(fail)?;
+        lock.write_all_at(format!("{}\n", std::process::id()).as_bytes(), 0).map_err(fail)?;
+        Ok(Disk { folder: folder.to_path_buf(), open: BTreeMap::new(), _lock: Some(lock) })
+    }
+
+    /// Looks at a folder that may be in use; for reading alone.
+    pub fn look(folder: &Path) -> Disk {
+        Disk { folder: folder.to_path_buf(), open: BTreeMap::new(), _lock: None }
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&File> {
+        if !self.open.contains_key(name) {
+            let file = OpenOptions::new().read(true).write(true).open(self.folder.join(name))?;
+            self.open.insert(name.to_owned(), file);
+        }
+        self.open.get(name).ok_or_else(|| ErrorKind::NotFound.into())
+    }
+}
+
+impl Storage for Disk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = vec![];
+        for entry in std::fs::read_dir(&self.folder)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read_at(&self, name: &str, at: u64, buf: &mut [u8]) -> io::Result<usize> {
+        match self.open.get(name) {
+            Some(file) => file.read_at(buf, at),
+            None => File::open(self.folder.join(name))?.read_at(buf, at),
+        }
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        let path = self.folder.join(name);
+        let file = OpenOptions::new().read(true).write(true).create_new(true).open(path)?;
+        self.open.insert(name.to_owned(), file);
+        Ok(())
+    }
+
+    fn write_at(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all_at(bytes, at)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.file(name)?.set_len(len)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        std::fs::rename(self.folder.join(from), self.folder.join(to))?;
+        if let Some(file) = self.open.remove(from) {
+            self.open.insert(to.to_owned(), file);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        std::fs::remove_file(self.folder.join(name))
+    }
+
+    fn place(&self) -> String {
+        self.folder.display().to_string()
+    }
+}
--- /dev/null
+++ b/crates/counter/src/store/mod.rs
@@ -0,0 +1,273 @@
+//! State on disk: a log of groups, snapshots, and how far the log is durable.
+//!
+//! [`Store::commit`] executes ops, writes what is new as one group, syncs it, and only then gives the outcomes
+//! back. [`Store::open`] is the way back from whatever a crash left: right, or refused with file, place and
+//! what to do.
+
+pub mod format;
+mod recover;
+mod seal;
+pub mod tools;
+
+pub use recover::{Found, Refused};
+
+use crate::storage::{no_room, Storage};
+use format::{put_group, segment_head, SEGMENT_HEAD};
+use frostgauge_count::{Machine, Op, Outcome, Record, Undo};
+use frostgauge_proto::counter::Code;
+use std::io;
+
+/// Bounds of the files.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// A segment over this is closed, bytes.
+    pub segment: u64,
+    /// Names kept at most.
+    pub names: usize,
+}
+
+/// Why the service must stop: what it goes by can no longer be trusted.
+#[derive(Debug)]
+pub struct Stop(pub String);
+
+/// What a commit gave for an op.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Given {
+    /// Counted now, or an epoch given now; durable.
+    New(i64),
+    /// Counted before; durable.
+    Known(i64),
+    /// Nothing was changed.
+    Refused(Code),
+}
+
+/// Name of the segment that begins with an index.
+pub(crate) fn segment_name(first: u64) -> String {
+    format!("log-{first:020}.fgl")
+}
+
+/// Name of the snapshot of an index.
+pub(crate) fn snapshot_name(index: u64) -> String {
+    format!("snapshot-{index:020}.fgs")
+}
+
+/// The number in a name.
+pub(crate) fn number(name: &str, before: &str, after: &str) -> Option<u64> {
+    let digits = name.strip_prefix(before)?.strip_suffix(after)?;
+    (digits.len() == 20).then(|| digits.parse().ok())?
+}
+
+/// State on disk.
+pub struct Store<S> {
+    machine: Machine,
+    storage: S,
+    config: Config,
+    /// The open segment and its length.
+    segment: Option<(String, u64)>,
+    /// First indexes of the segments before it, and of it.
+    segments: Vec<u64>,
+    /// Indexes of the snapshots kept, in order.
+    snapshots: Vec<u64>,
+    turn: u64,
+    sealed: bool,
+    written: u64,
+}
+
+/// A snapshot not yet written.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// Its index.
+    pub index: u64,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
+impl<S: Storage> Store<S> {
+    /// The state.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// The files.
+    pub fn storage(&self) -> &S {
+        &self.storage
+    }
+
+    /// The files, to write beside the log.
+    pub fn storage_mut(&mut self) -> &mut S {
+        &mut self.storage
+    }
+
+    /// Gives the files back.
+    pub fn into_storage(self) -> S {
+        self.storage
+    }
+
+    /// Bytes written to the log since it was opened.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Executes ops at a time (milliseconds since 1970), and returns when all that is new is durable.
+    ///
+    /// # Errors
+    /// The service must stop: nothing of this batch may be told to anyone.
+    pub fn commit(&mut self, time: u64, ops: Vec<Op>) -> Result<Vec<Given>, Stop> {
+        let (mut given, mut records, mut undos) = (vec![], vec![], vec![]);
+        for op in ops {
+            given.push(match self.machine.execute(time, op, self.config.names) {
+                Outcome::New(record, undo) => {
+                    let gave = record.gave;
+                    records.push(record);
+                    undos.push(undo);
+                    Given::New(gave)
+                }
+                Outcome::Known(gave) => Given::Known(gave),
+                Outcome::Refused(code) => Given::Refused(code),
+            });
+        }
+        if records.is_empty() {
+            return Ok(given);
+        }
+        match self.write(&records) {
+            Ok(()) => Ok(given),
+            Err(error) if no_room(&error) => {
+                self.take_back(undos)?;
+                // A repeat of one that is in this very batch falls with it.
+                let known = |g: &Given| matches!(g, Given::Refused(_));
+                Ok(given
+                    .into_iter()
+                    .map(|g| if known(&g) { g } else { Given::Refused(Code::NoSpace) })
+                    .collect())
+            }
+            Err(error) => Err(Stop(format!("{}: {error}", self.storage.place()))),
+        }
+    }
+
+    /// No room: what was written is cut off again, and the state is as before.
+    fn take_back(&mut self, undos: Vec<Undo>) -> Result<(), Stop> {
+        undos.into_iter().rev().for_each(|undo| self.machine.undo(undo));
+        if let Some((name, len)) = &self.segment {
+            self.storage
+                .truncate(name, *len)
+                .map_err(|e| Stop(format!("{}/{name}: cannot be cut back: {e}", self.storage.place())))?;
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, records: &[Record]) -> io::Result<()> {
+        let first = records.first().map_or(0, |r| r.index);
+        if self.segment.as_ref().is_none_or(|(_, len)| *len >= self.config.segment) {
+            self.begin_segment(first)?;
+        }
+        let Some((name, len)) = &mut self.segment else { return Err(io::ErrorKind::NotFound.into()) };
+        let mut bytes = vec![];
+        put_group(records, &mut bytes);
+        self.storage.write_at(name, *len, &bytes)?;
+        // A failed sync is the end: the system may have dropped the pages and call the next sync good.
+        self.storage.sync(name).map_err(|e| io::Error::other(format!("sync of {name} failed: {e}")))?;
+        *len += bytes.len() as u64;
+        self.written += bytes.len() as u64;
+        self.turn += 1;
+        let slot = seal::slot(self.machine.index());
+        // Only a claim of what is durable: without it recovery knows less, not wrong.
+        self.sealed = self.storage.write_at(seal::NAME, seal::place(self.turn), &slot).is_err();
+        Ok(())
+    }
+
+    fn begin_segment(&mut self, first: u64) -> io::Result<()> {
+        let name = segment_name(first);
+        let made = self.storage.create(&name).and_then(|()| {
+            self.storage.write_at(&name, 0, &segment_head(first))?;
+            self.storage.sync(&name).map_err(|e| io::Error::other(format!("sync of {name} failed: {e}")))?;
+            // Its name must be durable before anything in it is told.
+            self.storage
+                .sync_folder()
+                .map_err(|e| io::Error::other(format!("sync of the folder failed: {e}")))
+        });
+        if let Err(error) = made {
+            let _ = self.storage.remove(&name);
+            return Err(error);
+        }
+        self.segments.push(first);
+        self.segment = Some((name, SEGMENT_HEAD as u64));
+        Ok(())
+    }
+
+    /// Makes the claim of what is durable itself durable: for moments with nothing else to do.
+    ///
+    /// # Errors
+    /// The service must stop.
+    pub fn seal(&mut self) -> Result<(), Stop> {
+        if self.sealed {
+            return Ok(());
+        }
+        self.sealed = true;
+        self.storage
+            .sync(seal::NAME)
+            .map_err(|e| Stop(format!("{}/{}: {e}", self.storage.place(), seal::NAME)))
+    }
+
+    /// The present state, to be written by [`write_snapshot`], here or in another thread.
+    pub fn begin_snapshot(&self) -> Snapshot {
+        Snapshot { index: self.machine.index(), bytes: self.machine.snapshot() }
+    }
+
+    /// A snapshot was written and verified: what lies behind the one before it is removed. One snapshot and
+    /// the log from there are always left, should the newest be found damaged.
+    ///
+    /// # Errors
+    /// A file that cannot be removed; it does no harm.
+    pub fn cut(&mut self, index: u64) -> io::Result<()> {
+        if self.snapshots.last() != Some(&index) {
+            self.snapshots.push(index);
+        }
+        let Some(older) = self.snapshots.len().checked_sub(2).map(|k| self.snapshots[k]) else {
+            return Ok(());
+        };
+        while self.snapshots.len() > 2 {
+            self.storage.remove(&snapshot_name(self.snapshots.remove(0)))?;
+        }
+        while self.segments.len() > 1 && self.segments[1] <= older + 1 {
+            self.storage.remove(&segment_name(self.segments.remove(0)))?;
+        }
+        Ok(())
+    }
+
+    /// Takes a snapshot and cuts the log, here and now.
+    ///
+    /// # Errors
+    /// It could not be written; nothing is changed.
+    pub fn snapshot(&mut self) -> io::Result<()> {
+        let snapshot = self.begin_snapshot();
+        if snapshot.index == 0 || self.snapshots.last() == Some(&snapshot.index) {
+            return Ok(());
+        }
+        write_snapshot(&mut self.storage, &snapshot)?;
+        self.cut(snapshot.index)
+    }
+}
+
+/// Writes a snapshot aside, makes it durable, reads it back, and only then gives it its name.
+///
+/// # Errors
+/// It could not be written, or reads back as something else; the one aside is removed.
+pub fn write_snapshot(storage: &mut impl Storage, snapshot: &Snapshot) -> io::Result<()> {
+    let (name, part) = (snapshot_name(snapshot.index), format!("{}.part", snapshot_name(snapshot.index)));
+    let work = |storage: &mut dyn Storage| {
+        let _ = storage.remove(&part);
+        storage.create(&part)?;
+        storage.write_at(&part, 0, &snapshot.bytes)?;
+        storage.sync(&part)?;
+        if crate::storage::read(storage, &part)? != snapshot.bytes {
+            return Err(io::Error::other(format!("{part} reads back as something else")));
+        }
+        storage.rename(&part, &name)?;
+        storage.sync_folder()
+    };
+    let done = work(storage);
+    if done.is_err() {
+        let _ = storage.remove(&part);
+    }
+    done
+}
--- /dev/null
+++ b/crates/counter/src/store/tools.rs
@@ -0,0 +1,145 @@
+//! Looking at the files of a service: stopped, or (to verify) running.
+
+use super::format::{read_segment_head, SEGMENT_HEAD};
+use super::recover::{examine, walk, Found, Refused};
+use super::{number, seal, segment_name, snapshot_name, Config, Store};
+use crate::storage::{read, Disk, Storage};
+use frostgauge_count::{units, Machine, Op, Record};
+use serde_json::{json, Value};
+use std::path::Path;
+
+/// What a look at the files found.
+#[derive(Clone, Debug)]
+pub struct Verified {
+    /// Files read, with bytes and records of each.
+    pub files: Vec<(String, usize, u64)>,
+    /// What is wrong; none: all is well.
+    pub faults: Vec<String>,
+    /// What recovery would make of it.
+    pub recovery: Result<Found, Refused>,
+    /// Last index that recovery would come to.
+    pub index: u64,
+}
+
+/// Reads every file whole, also those that recovery would not need. Of a running service the tail may be in
+/// the middle of a write: what is told as torn then is none.
+///
+/// # Errors
+/// The folder cannot be read.
+pub fn verify(folder: &Path) -> Result<Verified, String> {
+    let disk = Disk::look(folder);
+    let names = disk.list().map_err(|e| format!("{}: {e}", folder.display()))?;
+    let (mut files, mut faults) = (vec![], vec![]);
+    for name in &names {
+        let whole = || read(&disk, name).map_err(|e| format!("{name}: {e}"));
+        if let Some(index) = number(name, "snapshot-", ".fgs") {
+            let bytes = whole()?;
+            match Machine::restore(&bytes) {
+                Ok(state) if state.index() == index => {}
+                Ok(state) => faults.push(format!("{name}: holds the state of index {}", state.index())),
+                Err(damage) => faults.push(format!("{name} at byte {}: {}", damage.at, damage.what)),
+            }
+            files.push((name.clone(), bytes.len(), 0));
+        } else if let Some(first) = number(name, "log-", ".fgl") {
+            let bytes = whole()?;
+            let mut records = 0;
+            if read_segment_head(&bytes) != Ok(first) {
+                faults.push(format!("{name} at byte 0: its head is damaged or of another format"));
+            } else {
+                let walked = walk(&bytes, |_, record| {
+                    let due = first + records;
+                    records += 1;
+                    (record.index == due)
+                        .then_some(())
+                        .ok_or(format!("record {} in place of {due}", record.index))
+                });
+                match walked {
+                    Ok((_, Some(bad))) => faults.push(format!("{name} at byte {}: {}", bad.at, bad.what)),
+                    Err((at, what)) => faults.push(format!("{name} at byte {at}: {what}")),
+                    Ok((_, None)) => {}
+                }
+            }
+            files.push((name.clone(), bytes.len(), records));
+        } else if name == seal::NAME && seal::read(&whole()?).is_none() {
+            faults.push(format!("{name}: is damaged or of another format"));
+        }
+    }
+    let (recovery, index) = match examine(&disk) {
+        Ok(reading) => (Ok(reading.found), reading.machine.index()),
+        Err(refused) => (Err(refused), 0),
+    };
+    Ok(Verified { files, faults, recovery, index })
+}
+
+/// A record as JSON.
+pub fn row(record: &Record) -> Value {
+    match &record.op {
+        Op::Open { gateway, life } => json!({
+            "index": record.index, "time_ms": record.time, "op": "open", "gateway": gateway,
+            "life": u128::from_be_bytes(*life).to_string(), "epoch": record.gave,
+        }),
+        Op::Add { gateway, epoch, seq, amount, life_ms, name } => json!({
+            "index": record.index, "time_ms": record.time, "op": "add", "gateway": gateway, "epoch": epoch,
+            "seq": seq, "amount": amount, "life_ms": life_ms, "name": String::from_utf8_lossy(name),
+            "total": record.gave,
+        }),
+    }
+}
+
+/// Every record of the log, in order.
+///
+/// # Errors
+/// A file that cannot be read, or is damaged before its tail.
+pub fn dump(folder: &Path, mut each: impl FnMut(&Record)) -> Result<(), String> {
+    let disk = Disk::look(folder);
+    let names = disk.list().map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut firsts: Vec<u64> = names.iter().filter_map(|n| number(n, "log-", ".fgl")).collect();
+    firsts.sort_unstable();
+    for (k, first) in firsts.iter().enumerate() {
+        let name = segment_name(*first);
+        let bytes = read(&disk, &name).map_err(|e| format!("{name}: {e}"))?;
+        if bytes.len() < SEGMENT_HEAD && k + 1 == firsts.len() {
+            return Ok(());
+        }
+        read_segment_head(&bytes).map_err(|_| format!("{name} at byte 0: its head is damaged"))?;
+        let walked = walk(&bytes, |_, record| {
+            each(record);
+            Ok(())
+        });
+        match walked {
+            Ok((_, Some(bad))) if k + 1 < firsts.len() => {
+                return Err(format!("{name} at byte {}: {}", bad.at, bad.what));
+            }
+            Err((at, what)) => return Err(format!("{name} at byte {at}: {what}")),
+            Ok(_) => {}
+        }
+    }
+    Ok(())
+}
+
+/// The state that the files come to.
+///
+/// # Errors
+/// Recovery would refuse them.
+pub fn replay(folder: &Path) -> Result<Machine, String> {
+    examine(&Disk::look(folder)).map(|reading| reading.machine).map_err(|refused| refused.to_string())
+}
+
+/// A number as JSON.
+pub fn number_row(name: &[u8], number: frostgauge_count::Number) -> Value {
+    json!({
+        "name": String::from_utf8_lossy(name), "total": number.total, "units": units(number.total),
+        "expires_ms": number.expires,
+    })
+}
+
+/// Takes a snapshot of a stopped service's files and cuts its log; the snapshot's name.
+///
+/// # Errors
+/// The folder is in use, its files are refused, or the snapshot cannot be written.
+pub fn snapshot(folder: &Path) -> Result<String, String> {
+    let config = Config { segment: u64::MAX, names: usize::MAX };
+    let (mut store, _) = Store::open(Disk::take(folder)?, config).map_err(|refused| refused.to_string())?;
+    store.snapshot().map_err(|e| e.to_string())?;
+    Ok(snapshot_name(store.machine().index()))
+}
--- /dev/null
+++ b/crates/counter/tests/common/mod.rs
@@ -0,0 +1,250 @@
+//! Workloads on a disk that fails, and what must hold after each failure.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use frostgauge_count::{Machine, Op, WINDOW};
+use frostgauge_counter::sim::{Plan, SimDisk};
+use frostgauge_counter::store::{write_snapshot, Config, Given, Store};
+use frostgauge_proto::counter::Code;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+pub const CONFIG: Config = Config { segment: 700, names: 1_000 };
+pub const T: u64 = 1_800_000_000_000;
+const DAY: u32 = 86_400_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Planted {
+    /// Snapshots forget who had what counted.
+    pub forgetful: bool,
+    /// Syncs do nothing, which is as good as replying before them.
+    pub lies: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub gateway: u16,
+    pub epoch: u64,
+    pub seq: u64,
+    pub amount: i64,
+    pub name: u8,
+}
+
+impl Sent {
+    pub fn op(&self) -> Op {
+        let Sent { gateway, epoch, seq, amount, name } = self.clone();
+        Op::Add { gateway, epoch, seq, amount, life_ms: DAY, name: vec![b'a' + name] }
+    }
+}
+
+/// The callers, who keep a tally of their own.
+pub struct World {
+    rng: ChaCha8Rng,
+    pub planted: Planted,
+    pub store: Option<Store<SimDisk>>,
+    /// Each gateway's epoch and newest sequence.
+    epochs: [(u64, u64); 3],
+    lives: u8,
+    /// Told that it was counted, with the total.
+    pub acked: Vec<(Sent, i64)>,
+    /// Sent, and nothing heard.
+    pub open: Vec<Sent>,
+    /// An epoch asked for, and nothing heard.
+    opening: Option<(u16, u8)>,
+    pub refused: u64,
+}
+
+pub type Fault = Result<(), String>;
+
+impl World {
+    pub fn new(seed: u64, planted: Planted) -> World {
+        let (store, _) = Store::open(SimDisk::new(seed), CONFIG).expect("an empty disk opens");
+        World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            planted,
+            store: Some(store),
+            epochs: [(0, 0); 3],
+            lives: 0,
+            acked: vec![],
+            open: vec![],
+            opening: None,
+            refused: 0,
+        }
+    }
+
+    pub fn disk(&mut self) -> &mut SimDisk {
+        self.store.as_mut().expect("a store").storage_mut()
+    }
+
+    pub fn plan(&mut self, plan: Plan) {
+        let lies = self.planted.lies;
+        self.disk().plan(Plan { lies, ..plan });
+    }
+
+    /// One step; false once the store has stopped.
+    pub fn step(&mut self) -> Result<bool, String> {
+        let roll = self.rng.random_range(0..100);
+        let unopened = (0..3).find(|g| self.epochs[usize::from(*g)].0 == 0);
+        if let Some(gateway) = unopened.or((roll < 4 && self.open.is_empty()).then_some(roll as u16 % 3)) {
+            return self.renew(gateway);
+        }
+        if roll < 16 {
+            return Ok(self.snapshot());
+        }
+        if roll < 22 {
+            return Ok(self.store.as_mut().is_some_and(|s| s.seal().is_ok()));
+        }
+        let mut batch: Vec<Sent> = vec![];
+        for _ in 0..self.rng.random_range(1..6) {
+            let gateway = self.rng.random_range(0..3u16);
+            // A quarter are repeats: of one just told, or of one in this very batch.
+            if self.rng.random_range(0..4) == 0 {
+                let acked = self.acked.last().map(|(sent, _)| sent.clone());
+                let again = batch.last().cloned().or(acked.filter(|s| s.epoch == self.epoch(s.gateway)));
+                batch.extend(again);
+                continue;
+            }
+            let (epoch, newest) = &mut self.epochs[usize::from(gateway)];
+            *newest += 1;
+            let amount = self.rng.random_range(-50..100);
+            let name = self.rng.random_range(0..4);
+            batch.push(Sent { gateway, epoch: *epoch, seq: *newest, amount, name });
+        }
+        self.send(batch)
+    }
+
+    fn epoch(&self, gateway: u16) -> u64 {
+        self.epochs[usize::from(gateway)].0
+    }
+
+    fn renew(&mut self, gateway: u16) -> Result<bool, String> {
+        let life = match self.opening {
+            Some((g, life)) if g == gateway => life,
+            _ => {
+                self.lives += 1;
+                self.lives
+            }
+        };
+        self.opening = Some((gateway, life));
+        let Some(store) = &mut self.store else { return Ok(false) };
+        match store.commit(T, vec![Op::Open { gateway, life: [life; 16] }]) {
+            Ok(given) => match given[0] {
+                Given::New(epoch) | Given::Known(epoch) => {
+                    let epoch = epoch as u64;
+                    if epoch <= self.epoch(gateway) {
+                        return Err(format!("gateway {gateway}: epoch {epoch} was given twice"));
+                    }
+                    self.epochs[usize::from(gateway)] = (epoch, 0);
+                    self.opening = None;
+                    Ok(true)
+                }
+                Given::Refused(Code::NoSpace) => {
+                    self.opening = None;
+                    Ok(true)
+                }
+                Given::Refused(code) => Err(format!("gateway {gateway}: {code:?}")),
+            },
+            Err(_) => Ok(false),
+        }
+    }
+
+    fn snapshot(&mut self) -> bool {
+        let Some(store) = &mut self.store else { return false };
+        let mut snapshot = store.begin_snapshot();
+        if snapshot.index == 0 {
+            return true;
+        }
+        if self.planted.forgetful {
+            snapshot.bytes = Machine::restore(&snapshot.bytes).expect("own bytes").forgetful().snapshot();
+        }
+        if write_snapshot(store.storage_mut(), &snapshot).is_ok() {
+            let _ = store.cut(snapshot.index);
+        }
+        !store.storage().crashed()
+    }
+
+    /// Sends a batch and notes what is told; whether the store goes on.
+    pub fn send(&mut self, batch: Vec<Sent>) -> Result<bool, String> {
+        let Some(store) = &mut self.store else { return Ok(false) };
+        let given = store.commit(T, batch.iter().map(Sent::op).collect());
+        let goes_on = given.is_ok();
+        for (k, sent) in batch.into_iter().enumerate() {
+            match given.as_ref().ok().map(|g| g[k]) {
+                Some(Given::New(total)) => {
+                    if self.acked.iter().any(|(a, _)| same(a, &sent)) {
+                        return Err(format!("{sent:?} was counted twice"));
+                    }
+                    self.open.retain(|o| !same(o, &sent));
+                    self.acked.push((sent, total));
+                }
+                Some(Given::Known(total)) => match self.acked.iter().find(|(a, _)| same(a, &sent)) {
+                    Some((_, first)) if *first != total => {
+                        return Err(format!("{sent:?}: {first} at first, {total} now"));
+                    }
+                    Some(_) => {}
+                    None => {
+                        self.open.retain(|o| !same(o, &sent));
+                        self.acked.push((sent, total));
+                    }
+                },
+                Some(Given::Refused(Code::NoSpace)) => {
+                    self.refused += 1;
+                    // Nothing was added: it may go again.
+                    self.note_open(sent);
+                }
+                Some(Given::Refused(code)) => return Err(format!("{sent:?}: {code:?}")),
+                None => self.note_open(sent),
+            }
+        }
+        Ok(goes_on)
+    }
+
+    fn note_open(&mut self, sent: Sent) {
+        let known =
+            self.open.iter().any(|o| same(o, &sent)) || self.acked.iter().any(|(a, _)| same(a, &sent));
+        if !known {
+            self.open.push(sent);
+        }
+    }
+
+    /// Opens the disk again, asks after everything, and compares with the tally.
+    pub fn recover(&mut self, disk: SimDisk) -> Fault {
+        let (store, _) = Store::open(disk, CONFIG).map_err(|refused| format!("refused: {refused}"))?;
+        self.store = Some(store);
+        self.check()
+    }
+
+    pub fn check(&mut self) -> Fault {
+        if let Some((gateway, _)) = self.opening {
+            self.renew(gateway)?;
+        }
+        let open = std::mem::take(&mut self.open);
+        let goes_on = self.send(open)?;
+        if !goes_on || !self.open.is_empty() {
+            return Err("the store does not go on".into());
+        }
+        // What was told is remembered, as far as the window goes.
+        let recent = |(s, _): &&(Sent, i64)| {
+            let (epoch, newest) = self.epochs[usize::from(s.gateway)];
+            s.epoch == epoch && s.seq + WINDOW > newest
+        };
+        let again: Vec<Sent> = self.acked.iter().filter(recent).map(|(s, _)| s.clone()).collect();
+        self.send(again)?;
+        let mut tally: BTreeMap<Vec<u8>, i64> = BTreeMap::new();
+        for (sent, _) in &self.acked {
+            *tally.entry(vec![b'a' + sent.name]).or_default() += sent.amount;
+        }
+        let store = self.store.as_ref().expect("a store");
+        let totals: BTreeMap<Vec<u8>, i64> =
+            store.machine().names().map(|(name, number)| (name.to_vec(), number.total)).collect();
+        if totals == tally {
+            Ok(())
+        } else {
+            Err(format!("totals {totals:?}, the callers' tally is {tally:?}"))
+        }
+    }
+}
+
+pub fn same(a: &Sent, b: &Sent) -> bool {
+    (a.gateway, a.epoch, a.seq) == (b.gateway, b.epoch, b.seq)
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -2,6 +2,7 @@
 //! clock or decides anything about quotas.
 
 pub mod bearer;
+pub mod counter;
 pub mod http;
 pub mod introspection;
 pub mod orca;
