--- /dev/null
+++ b/crates/counter/src/client.rs
@@ -0,0 +1,344 @@
+//! A gateway's connection to the counter: `frostgauge-count`'s [`Calls`] decide, this carries it out.
+
+use async_channel::{Receiver, Sender};
+use async_executor::{Executor, Task};
+use async_io::{Async, Timer};
+use frostgauge_count::{Calls, CallsConfig, Do, Micros, Told};
+use frostgauge_net::{read_some, until, Pool, Timed};
+use frostgauge_proto::counter::{Code, Frame, Key, Nonce, Seal, Unseal};
+use futures_lite::{future, AsyncWriteExt};
+use serde_json::{json, Value};
+use std::future::Future;
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Calls that may wait for this task's turn.
+const INBOX: usize = 4_096;
+/// Calls taken before they are written as one.
+const BATCH: usize = 256;
+/// A connection must stand, and this gateway be let in, within this.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A connection with nothing to say says so: well under the service's lease.
+const PING: Duration = Duration::from_secs(1);
+
+/// Where the counter is, and who calls.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The key that both sides hold.
+    pub key: Key,
+    /// This gateway's number.
+    pub gateway: u16,
+    /// Connections go out from this address; none: the system chooses.
+    pub source: Option<IpAddr>,
+    /// Time limits.
+    pub calls: CallsConfig,
+}
+
+/// What a call came to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Answered {
+    /// The number's name.
+    pub counter: u64,
+    /// The total in units, or none.
+    pub total: Option<f64>,
+    /// It may have been added.
+    pub unsure: bool,
+    /// Time since the call, microseconds.
+    pub took: Micros,
+    /// For a record of what was told.
+    pub told: Told,
+}
+
+/// Takes answers, one at a time; false once nobody wants them.
+pub type Deliver = Box<dyn Fn(Answered) -> Pin<Box<dyn Future<Output = bool> + Send>> + Send + Sync>;
+
+/// The calling side.
+#[derive(Clone, Debug)]
+pub struct Client {
+    calls: Sender<(u64, f64, Micros)>,
+    seen: Arc<Mutex<Value>>,
+}
+
+impl Client {
+    /// Starts the task that holds the connection.
+    pub fn start(executor: &Arc<Executor<'static>>, config: Config, deliver: Deliver) -> Client {
+        let (calls, inbox) = async_channel::bounded(INBOX);
+        let seen = Arc::new(Mutex::new(Value::Null));
+        let task = Driver {
+            calls: Calls::new(config.calls, rand::random()),
+            pool: Pool::new(1, PING).from(config.source),
+            life: rand::random(),
+            link: Link::Down,
+            began: Instant::now(),
+            inbox,
+            executor: executor.clone(),
+            deliver,
+            seen: seen.clone(),
+            config,
+        };
+        executor.spawn(task.run()).detach();
+        Client { calls, seen }
+    }
+
+    /// Adds units to a number; false if there is no room for the call: it is certainly not added.
+    pub fn call(&self, counter: u64, amount: f64, ttl: Micros) -> bool {
+        self.calls.try_send((counter, amount, ttl)).is_ok()
+    }
+
+    /// How it stands.
+    pub fn status(&self) -> Value {
+        self.seen.lock().map_or(Value::Null, |seen| seen.clone())
+    }
+}
+
+/// A connection on which this gateway is let in.
+struct Open {
+    stream: Async<TcpStream>,
+    seal: Seal,
+    unseal: Unseal,
+    buf: Vec<u8>,
+    epoch: u64,
+    written: Instant,
+}
+
+enum Link {
+    Down,
+    Opening(Task<Result<Open, bool>>),
+    Up(Box<Open>),
+}
+
+enum Event {
+    Call(Option<(u64, f64, Micros)>),
+    Opened(Result<Open, bool>),
+    Read(bool),
+    Wake,
+}
+
+struct Driver {
+    calls: Calls,
+    pool: Pool,
+    life: Nonce,
+    link: Link,
+    began: Instant,
+    inbox: Receiver<(u64, f64, Micros)>,
+    executor: Arc<Executor<'static>>,
+    deliver: Deliver,
+    seen: Arc<Mutex<Value>>,
+    config: Config,
+}
+
+/// Connects and is let in; `Err(true)`: trying again soon is of no use.
+async fn open(pool: Pool, config: Config, life: Nonce) -> Result<Open, bool> {
+    let stream = pool.connect(config.address).await.map_err(|_| false)?;
+    let _ = stream.get_ref().set_nodelay(true);
+    let (mut buf, mut unseal) = (vec![], Unseal::new(None));
+    let challenge = match next(&stream, &mut unseal, &mut buf).await? {
+        Frame::Challenge { nonce } => nonce,
+        _ => return Err(false),
+    };
+    let (nonce, gateway, mut bytes) = (rand::random(), config.gateway, vec![]);
+    Seal::new(Some(config.key.opening(&challenge))).put(&Frame::Open { gateway, life, nonce }, &mut bytes);
+    (&stream).write_all(&bytes).await.map_err(|_| false)?;
+    let seal = Seal::new(Some(config.key.up(&challenge, &nonce, gateway)));
+    let mut unseal = Unseal::new(Some(config.key.down(&challenge, &nonce, gateway)));
+    match next(&stream, &mut unseal, &mut buf).await? {
+        Frame::Opened { epoch, .. } => {
+            Ok(Open { stream, seal, unseal, buf, epoch, written: Instant::now() })
+        }
+        Frame::Bye { code } => {
+            let far = matches!(code, Code::InUse | Code::Fenced);
+            tracing::error!(why = code.word(), gateway, "the counter does not let this gateway in");
+            Err(far)
+        }
+        _ => Err(false),
+    }
+}
+
+async fn next(mut stream: &Async<TcpStream>, unseal: &mut Unseal, buf: &mut Vec<u8>) -> Result<Frame, bool> {
+    loop {
+        match unseal.take(buf) {
+            Ok(Some((frame, n))) => {
+                buf.drain(..n);
+                return Ok(frame);
+            }
+            Ok(None) => {}
+            Err(code) => {
+                // Also what it says to a key that it does not know: a word without a MAC.
+                tracing::error!(why = code.word(), "the counter's word is not authentic: is the key right?");
+                return Err(true);
+            }
+        }
+        if !matches!(read_some(&mut stream, buf).await, Ok(n) if n > 0) {
+            return Err(false);
+        }
+    }
+}
+
+impl Driver {
+    fn now(&self) -> Micros {
+        self.began.elapsed().as_micros() as Micros
+    }
+
+    async fn event(&mut self) -> Event {
+        let wake = self.calls.next_wake().map(|at| self.began + Duration::from_micros(at));
+        let ping = match &self.link {
+            Link::Up(open) => Some(open.written + PING),
+            _ => None,
+        };
+        let wake = wake.into_iter().chain(ping).min();
+        let (link, inbox) = (&mut self.link, &self.inbox);
+        let link = async {
+            match link {
+                Link::Down => future::pending().await,
+                Link::Opening(task) => Event::Opened(task.await),
+                Link::Up(open) => {
+                    let read = read_some(&mut &open.stream, &mut open.buf).await;
+                    Event::Read(matches!(read, Ok(n) if n > 0))
+                }
+            }
+        };
+        let call = async { Event::Call(inbox.recv().await.ok()) };
+        let timer = async {
+            match wake {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            Event::Wake
+        };
+        // What came back goes first: it frees places for what is to be sent.
+        future::or(link, future::or(call, timer)).await
+    }
+
+    async fn run(mut self) {
+        let mut out = vec![];
+        loop {
+            let event = self.event().await;
+            let now = self.now();
+            match event {
+                Event::Call(None) => return,
+                Event::Call(Some(first)) => {
+                    let rest = std::iter::from_fn(|| self.inbox.try_recv().ok()).take(BATCH);
+                    for (counter, amount, ttl) in std::iter::once(first).chain(rest) {
+                        self.calls.call(now, counter, amount, ttl, &mut out);
+                    }
+                }
+                Event::Opened(Ok(open)) => {
+                    let epoch = open.epoch;
+                    self.link = Link::Up(Box::new(open));
+                    tracing::info!(epoch, "the counter lets this gateway in");
+                    self.calls.opened(now, epoch, &mut out);
+                }
+                Event::Opened(Err(far)) => {
+                    self.link = Link::Down;
+                    self.calls.lost(now, far);
+                }
+                Event::Read(true) => self.read(now, &mut out),
+                Event::Read(false) => self.lost(now, "the connection to the counter ended"),
+                Event::Wake => {}
+            }
+            self.calls.advance(now, &mut out);
+            if !self.carry_out(now, &mut out).await {
+                return;
+            }
+            if let Ok(mut seen) = self.seen.lock() {
+                let t = self.calls.tally();
+                *seen = json!({
+                    "up": self.calls.up(), "epoch": self.calls.epoch(), "out": self.calls.out(),
+                    "calls": t.calls, "totals": t.totals, "refused": t.refused, "unsure": t.unsure,
+                    "repeats": t.repeats, "opened": t.opened,
+                });
+            }
+        }
+    }
+
+    fn lost(&mut self, now: Micros, why: &'static str) {
+        tracing::warn!(why, "the counter is lost");
+        self.link = Link::Down;
+        self.calls.lost(now, false);
+    }
+
+    fn read(&mut self, now: Micros, out: &mut Vec<Do>) {
+        let Link::Up(open) = &mut self.link else { return };
+        let mut from = 0;
+        let bad = loop {
+            match open.unseal.take(&open.buf[from..]) {
+                Ok(Some((frame, n))) => {
+                    from += n;
+                    match frame {
+                        Frame::Total { id, total, .. } => self.calls.total(now, id, total, out),
+                        Frame::Refused { id, code, .. } => {
+                            metrics::counter!("frostgauge_counter_refusals", "why" => code.word())
+                                .increment(1);
+                            self.calls.refused(now, id, code, out);
+                        }
+                        Frame::Pong { .. } => self.calls.heard(),
+                        Frame::Bye { code } => break Some(code.word()),
+                        _ => break Some("a frame of no use here"),
+                    }
+                }
+                Ok(None) => break None,
+                Err(code) => break Some(code.word()),
+            }
+        };
+        open.buf.drain(..from);
+        if let Some(why) = bad {
+            self.lost(now, why);
+        }
+    }
+
+    /// Carries out what was decided; false once nobody wants answers.
+    async fn carry_out(&mut self, now: Micros, out: &mut Vec<Do>) -> bool {
+        let mut bytes = vec![];
+        for d in out.drain(..) {
+            match d {
+                Do::Connect => {
+                    let work = open(self.pool.another(), self.config.clone(), self.life);
+                    self.link = Link::Opening(self.executor.spawn(async move {
+                        match until(Instant::now() + CONNECT, work).await {
+                            Timed::Done(opened) => opened,
+                            Timed::Late => Err(false),
+                        }
+                    }));
+                }
+                Do::Close => {
+                    tracing::warn!("the counter says nothing: the connection is closed");
+                    self.link = Link::Down;
+                }
+                Do::Add { seq, counter, amount, life_ms, patience } => {
+                    let Link::Up(open) = &mut self.link else { continue };
+                    let patience_us = u32::try_from(patience).unwrap_or(u32::MAX);
+                    let name = format!("{counter:016x}").into_bytes();
+                    open.seal.put(&Frame::Add { seq, amount, life_ms, patience_us, name }, &mut bytes);
+                }
+                Do::Answer { counter, total, unsure, took, told } => {
+                    tracing::debug!(
+                        target: "frostgauge_counter_calls", counter = format!("{counter:016x}"), epoch = told.epoch,
+                        seq = told.seq, amount = told.amount, sends = told.sends, unsure, refused = total.is_none(),
+                        total = total.unwrap_or(0.0), took_us = took, "answer"
+                    );
+                    let answered = Answered { counter, total, unsure, took, told };
+                    if !(self.deliver)(answered).await {
+                        return false;
+                    }
+                }
+            }
+        }
+        let limit = Instant::now() + Duration::from_micros(self.config.calls.limit);
+        let Link::Up(open) = &mut self.link else { return true };
+        if bytes.is_empty() && open.written.elapsed() >= PING {
+            open.seal.put(&Frame::Ping { id: now }, &mut bytes);
+        }
+        if !bytes.is_empty() {
+            open.written = Instant::now();
+            let written = until(limit, (&open.stream).write_all(&bytes)).await;
+            if !matches!(written, Timed::Done(Ok(()))) {
+                self.lost(now, "the counter takes nothing");
+            }
+        }
+        true
+    }
+}
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -3,6 +3,20 @@
 //! The state and the decisions are `frostgauge-count`'s; here is what makes them durable ([`store`]) and what
 //! serves them.
 
+pub mod client;
+mod commit;
+pub mod daemon;
+mod nowhere;
+mod service;
 pub mod sim;
 pub mod storage;
 pub mod store;
+
+/// Sets up logging to standard error: text for people, or JSON lines. `FROSTGAUGE_LOG` chooses what is told.
+pub fn log(json: bool) {
+    let filter = tracing_subscriber::EnvFilter::try_from_env("FROSTGAUGE_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // A second call, as in tests, changes nothing.
+    let _ = if json { builder.json().flatten_event(true).try_init() } else { builder.try_init() };
+}
--- a/crates/counter/src/store/mod.rs
+++ b/crates/counter/src/store/mod.rs
@@ -24,6 +24,8 @@
     pub segment: u64,
     /// Names kept at most.
     pub names: usize,
+    /// Segments behind snapshots are kept.
+    pub keep: bool,
 }
 
 /// Why the service must stop: what it goes by can no longer be trusted.
@@ -228,7 +230,7 @@
         while self.snapshots.len() > 2 {
             self.storage.remove(&snapshot_name(self.snapshots.remove(0)))?;
         }
-        while self.segments.len() > 1 && self.segments[1] <= older + 1 {
+        while !self.config.keep && self.segments.len() > 1 && self.segments[1] <= older + 1 {
             self.storage.remove(&segment_name(self.segments.remove(0)))?;
         }
         Ok(())
--- a/crates/counter/src/store/recover.rs
+++ b/crates/counter/src/store/recover.rs
@@ -55,6 +55,8 @@
     pub snapshots: Vec<u64>,
     /// Files that are of no more use.
     pub stale: Vec<String>,
+    /// Files of the log behind the snapshots.
+    pub behind: Vec<String>,
 }
 
 fn whole(storage: &impl Storage, name: &str) -> Result<Vec<u8>, Refused> {
@@ -96,7 +98,7 @@
     };
     let mut found = Found::default();
     let mut stale: Vec<String> = names.iter().filter(|n| n.ends_with(".part")).cloned().collect();
-    let mut machine = Machine::default();
+    let (mut machine, mut behind) = (Machine::default(), vec![]);
     let mut snapshots: Vec<u64> = names.iter().filter_map(|n| number(n, "snapshot-", ".fgs")).collect();
     snapshots.sort_unstable();
     for index in snapshots.clone().into_iter().rev() {
@@ -120,7 +122,7 @@
     let base = if snapshots.len() == 2 { snapshots[0] } else { 0 };
     let from = |index: u64| firsts.iter().rposition(|first| *first <= index + 1);
     if let Some(start) = from(base).or(from(machine.index())) {
-        stale.extend(firsts.drain(..start).map(segment_name));
+        behind.extend(firsts.drain(..start).map(segment_name));
     } else if let Some(first) = firsts.first() {
         let missing = format!("records from {} are missing before it", machine.index() + 1);
         let what = match found.damaged.first() {
@@ -190,7 +192,7 @@
         // A snapshot newer than the log: all of that is in it, and the next record leaves a gap behind.
         stale.extend(segments.drain(..).map(|(first, _)| segment_name(first)));
     }
-    Ok(Reading { machine, found, segments, snapshots, stale })
+    Ok(Reading { machine, found, segments, snapshots, stale, behind })
 }
 
 impl<S: Storage> Store<S> {
@@ -200,7 +202,10 @@
     /// What is wrong, with file and place; nothing was changed then.
     pub fn open(mut storage: S, config: Config) -> Result<(Store<S>, Found), Refused> {
         let reading = examine(&storage)?;
-        let Reading { machine, found, segments, snapshots, stale } = reading;
+        let Reading { machine, found, segments, snapshots, mut stale, behind } = reading;
+        if !config.keep {
+            stale.extend(behind);
+        }
         let fail = |file: &str, e: io::Error| Refused::from((file.to_owned(), e));
         for name in &found.damaged {
             storage.rename(name, &format!("{name}.damaged")).map_err(|e| fail(name, e))?;
--- a/crates/counter/src/store/tools.rs
+++ b/crates/counter/src/store/tools.rs
@@ -138,7 +138,7 @@
 /// # Errors
 /// The folder is in use, its files are refused, or the snapshot cannot be written.
 pub fn snapshot(folder: &Path) -> Result<String, String> {
-    let config = Config { segment: u64::MAX, names: usize::MAX };
+    let config = Config { segment: u64::MAX, names: usize::MAX, keep: true };
     let (mut store, _) = Store::open(Disk::take(folder)?, config).map_err(|refused| refused.to_string())?;
     store.snapshot().map_err(|e| e.to_string())?;
     Ok(snapshot_name(store.machine().index()))
--- a/crates/counter/tests/common/mod.rs
+++ b/crates/counter/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
-pub const CONFIG: Config = Config { segment: 700, names: 1_000 };
+pub const CONFIG: Config = Config { segment: 700, names: 1_000, keep: false };
 pub const T: u64 = 1_800_000_000_000;
 const DAY: u32 = 86_400_000;
 
--- a/crates/counter/tests/files.rs
+++ b/crates/counter/tests/files.rs
@@ -205,7 +205,7 @@
 #[test]
 fn a_folder_on_disk_serves_one_process_and_the_tools() {
     let folder = folder();
-    let config = Config { segment: 2_000, names: 100 };
+    let config = Config { segment: 2_000, names: 100, keep: false };
     let (mut store, _) = Store::open(Disk::take(&folder).expect("free"), config).expect("empty");
     let in_use = Disk::take(&folder).expect_err("in use");
     assert!(in_use.contains(&std::process::id().to_string()), "{in_use}");
@@ -237,7 +237,7 @@
 
 #[test]
 fn names_beyond_the_bound_and_stale_repeats_are_refused_by_code() {
-    let (mut store, _) = Store::open(SimDisk::new(1), Config { segment: 4_000, names: 1 }).expect("empty");
+    let (mut store, _) = Store::open(SimDisk::new(1), Config { segment: 4_000, names: 1, keep: false }).expect("empty");
     store.commit(T, vec![Op::Open { gateway: 0, life: [1; 16] }]).expect("room");
     let op = |seq, name: &[u8]| Op::Add {
         gateway: 0,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -11,12 +11,12 @@
 use crate::reply::{Failed, Final};
 use crate::timers::Timers;
 use crate::zone_gate::ZoneGate;
-use frostgauge::{Action, Entry, Event, Gateway, ListKind, Load, RequestId, ServerId, Status, Why};
+use frostgauge::{Action, CounterId, Entry, Event, Gateway, ListKind, Load, RequestId, ServerId, Status, Why};
 use frostgauge_identity::{Answer, Grant, Identity, Outcome, Step, TokenName};
 use frostgauge_proto::bearer::Denied;
 use frostgauge_settings::{Insurer, Loaded};
 use frostgauge_zones::{Change, Zones};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// A call, as the core knows it.
@@ -92,6 +92,17 @@
         /// Time since it was sent.
         took: Micros,
     },
+    /// What a call of the counter came to.
+    Counted {
+        /// The number's name.
+        counter: CounterId,
+        /// The total, or none.
+        total: Option<f64>,
+        /// It may have been added.
+        unsure: bool,
+        /// Time since the call.
+        took: Micros,
+    },
     /// Staff take a zone out of use, or give it back.
     Drain {
         /// Its index.
@@ -173,6 +184,15 @@
         /// The message.
         data: Vec<u8>,
     },
+    /// Add to a number of the counter, and hand in `Counted` exactly once.
+    Count {
+        /// Its name.
+        counter: CounterId,
+        /// Units.
+        amount: f64,
+        /// How long a new name lives.
+        ttl: Micros,
+    },
     /// A line for the log.
     Log(String),
 }
@@ -357,6 +377,9 @@
                 }
                 self.tell_zones(out);
             }
+            Input::Counted { counter, total, unsure, took } => {
+                self.decide(now, Event::Counted { counter, total, unsure, took }, out);
+            }
             Input::Peer { from, data } => self.decide(now, Event::Peer { from, data }, out),
         }
     }
@@ -477,8 +500,7 @@
     /// Hands an event to the library and turns its actions into commands.
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
         let mut actions = std::mem::take(&mut self.actions);
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
+        {
             self.library.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 match action {
@@ -507,9 +529,8 @@
                     Action::Timer { at, timer } => self.timers.set(at, timer),
                     Action::Probe { server } => out.push(Command::Probe { server }),
                     Action::Tell { to, data } => out.push(Command::Tell { to, data }),
-                    // The counter does not exist yet: its calls are turned away, nothing is added.
-                    Action::Count { counter, .. } => {
-                        events.push_back(Event::Counted { counter, total: None, unsure: false, took: 0 });
+                    Action::Count { counter, amount, ttl } => {
+                        out.push(Command::Count { counter, amount, ttl });
                     }
                     // The list comes by reload; there is nothing to subscribe to.
                     Action::Watch => {}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -9,7 +9,8 @@
 use crate::upstream::{self, Ended, Forward};
 use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
-use frostgauge::{ServerId, Status};
+use frostgauge::{CounterId, ServerId, Status};
+use frostgauge_counter::client::{self, Answered, Client};
 use frostgauge_identity::{Answer, Grant, TokenName};
 use frostgauge_net::{exchange, until, End, Pool, Response, Timed};
 use frostgauge_proto::bearer::Token;
@@ -18,6 +19,7 @@
 use frostgauge_settings::Loaded;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
@@ -108,6 +110,8 @@
         /// Where to tell.
         reply: Sender<bool>,
     },
+    /// A call of the counter ended.
+    Counted(Answered),
     /// A message of another gateway.
     Peer {
         /// Its number.
@@ -185,6 +189,7 @@
     pool: Arc<Pool>,
     addresses: BTreeMap<ServerId, SocketAddr>,
     peers: Option<Peers>,
+    counter: Option<Client>,
     calls: BTreeMap<u64, Box<Call>>,
     tokens: BTreeMap<TokenName, Token>,
     running: BTreeMap<(u64, u32), Running>,
@@ -231,6 +236,7 @@
             pool,
             addresses: BTreeMap::new(),
             peers,
+            counter: None,
             calls: BTreeMap::new(),
             tokens: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -243,9 +249,30 @@
             longest: 0,
         };
         engine.learn_addresses();
+        engine.counter = engine.call_counter();
         Ok(engine)
     }
 
+    /// The counter's client, where there is a counter.
+    fn call_counter(&self) -> Option<Client> {
+        let loaded = self.handle.loaded();
+        let (call, secret) = loaded.file.counter.as_ref().zip(loaded.counter_secret.as_ref())?;
+        let ms = |ms: u64| ms * 1_000;
+        let config = client::Config {
+            address: call.address,
+            key: frostgauge_proto::counter::Key::derive(secret.expose()),
+            gateway: u16::try_from(loaded.file.gateway.number).unwrap_or(u16::MAX),
+            source: loaded.file.gateway.source,
+            calls: frostgauge_count::CallsConfig { limit: ms(call.limit_ms), repeat: ms(call.repeat_ms) },
+        };
+        let inbox = self.handle.inbox();
+        let deliver = move |answered| -> std::pin::Pin<Box<dyn Future<Output = bool> + Send>> {
+            let inbox = inbox.clone();
+            Box::pin(async move { inbox.send(Message::Counted(answered)).await.is_ok() })
+        };
+        Some(Client::start(&self.executor, config, Box::new(deliver)))
+    }
+
     /// What fronts need.
     pub fn handle(&self) -> Handle {
         self.handle.clone()
@@ -343,6 +370,10 @@
                 }
                 let _ = reply.try_send(known.is_some());
             }
+            Message::Counted(Answered { counter, total, unsure, took, .. }) => {
+                let counter = CounterId(counter);
+                self.core.handle(now, Input::Counted { counter, total, unsure, took }, out);
+            }
             Message::Peer { from, data } => self.core.handle(now, Input::Peer { from, data }, out),
             Message::Reload(loaded) => {
                 match self.handle.loaded.write() {
@@ -378,20 +409,18 @@
     }
 
     fn carry_out(&mut self, commands: &mut Vec<Command>) {
-        let mut cancelled = Vec::new();
+        let mut ended = Vec::new();
         loop {
             for command in commands.drain(..) {
-                self.command(command, &mut cancelled);
+                self.command(command, &mut ended);
             }
-            let Some((ticket, attempt, server, sent)) = cancelled.pop() else { return };
-            let now = self.handle.clock.now();
-            let (status, took) = (Status::Cancelled, now.saturating_sub(sent));
-            let input = Input::AttemptEnded { ticket, attempt, server, status, took, used: None, load: None };
-            self.core.handle(now, input, commands);
+            let Some(input) = ended.pop() else { return };
+            self.core.handle(self.handle.clock.now(), input, commands);
         }
     }
 
-    fn command(&mut self, command: Command, cancelled: &mut Vec<(u64, u32, ServerId, Micros)>) {
+    /// Carries out a command; what has ended with it comes back at once.
+    fn command(&mut self, command: Command, ended: &mut Vec<Input>) {
         match command {
             Command::Send { ticket, attempt, server, timeout, grant } => {
                 self.start(ticket, attempt, server, timeout, &grant);
@@ -400,7 +429,9 @@
                 // Dropping the task closes its connection.
                 if let Some(run) = self.running.remove(&(ticket, attempt)) {
                     drop(run.task);
-                    cancelled.push((ticket, attempt, run.server, run.sent));
+                    let took = self.handle.clock.now().saturating_sub(run.sent);
+                    let (server, status, used, load) = (run.server, Status::Cancelled, None, None);
+                    ended.push(Input::AttemptEnded { ticket, attempt, server, status, took, used, load });
                 }
             }
             Command::Answer { ticket, answer } => self.answer(ticket, answer),
@@ -420,6 +451,12 @@
                     peers.tell(to, &data);
                 }
             }
+            Command::Count { counter, amount, ttl } => {
+                // No counter, or no room for the call: turned away, certainly not added.
+                if !self.counter.as_ref().is_some_and(|c| c.call(counter.0, amount, ttl)) {
+                    ended.push(Input::Counted { counter, total: None, unsure: false, took: 0 });
+                }
+            }
             Command::Log(text) => tracing::info!(text, "decisions"),
             // Taken out where the response is at hand.
             Command::Deliver { .. } => {}
@@ -600,6 +637,7 @@
                 "asked": tally.asked, "failed": tally.failed, "hits": tally.hits, "stale": tally.stale,
                 "unavailable": tally.unavailable,
             },
+            "counter": self.counter.as_ref().map(Client::status),
             "zones": self.zone_rows(now, &loaded),
             "nodes": loaded.file.nodes.iter().map(|n| json!({
                 "address": n.address.to_string(), "zone": n.zone, "state": format!("{:?}", n.state).to_lowercase(),
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -34,6 +34,12 @@
         Pool { source, ..self }
     }
 
+    /// An empty one with the same bounds and source.
+    #[must_use]
+    pub fn another(&self) -> Pool {
+        Pool::new(self.most, self.life).from(self.source)
+    }
+
     /// Opens a new connection.
     ///
     /// # Errors
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -69,6 +69,9 @@
     pub facts: Facts,
     gateways: Vec<GatewaySlot>,
     introspection: Option<Process>,
+    counter: Option<Process>,
+    /// Folders of the counter's files: one, and one more for each return with nothing.
+    pub counter_folders: Vec<PathBuf>,
     ports: Ports,
 }
 
@@ -83,6 +86,8 @@
     program: PathBuf,
     backplane: SocketAddr,
     introspection: SocketAddr,
+    /// Where the counter listens, where staff ask it, and the path there on which replies may be lost.
+    pub counter: [SocketAddr; 3],
     seed: u64,
     state: Mutex<State>,
     pool: Pool,
@@ -145,6 +150,8 @@
 /// Lays one value over another: objects member by member, all else whole.
 fn lay(over: &Value, base: &mut Value) {
     match (over, base) {
+        // Nothing is laid over by default.
+        (Value::Null, _) => {}
         (Value::Object(over), Value::Object(base)) => {
             for (name, value) in over {
                 lay(value, base.entry(name.clone()).or_insert(Value::Null));
@@ -184,12 +191,15 @@
         let mut addresses = || (0..count).map(|_| ports.take()).collect::<Result<Vec<_>, _>>();
         let (doors, admins, peers) = (addresses()?, addresses()?, addresses()?);
         let introspection = ports.take()?;
+        let counter = [ports.take()?, ports.take()?, ports.take()?];
         let state = State {
             nodes: vec![],
             rng: dice(seed, "script"),
             facts: Facts::default(),
             gateways: admins.iter().map(|a| GatewaySlot { admin: *a, process: None }).collect(),
             introspection: None,
+            counter: None,
+            counter_folders: vec![],
             ports,
         };
         let pool = Pool::new(4, Duration::from_secs(5));
@@ -200,6 +210,7 @@
             program: program.to_path_buf(),
             backplane,
             introspection,
+            counter,
             seed,
             state: Mutex::new(state),
             pool,
@@ -207,6 +218,10 @@
         write_whole(&dir.join("client.secret"), CLIENT.1, true)?;
         write_whole(&dir.join("peer.secret"), "shared by the gateways of one run", true)?;
         fleet.start_introspection()?;
+        if fleet.scenario.counter.is_some() {
+            fleet.write_counter()?;
+            fleet.start_counter(true)?;
+        }
         for k in 0..fleet.scenario.nodes.count {
             fleet.add_node(k, false)?;
         }
@@ -296,6 +311,11 @@
             },
             "limits": { "meter_ms": s.meter.period_ms },
         });
+        if let Some(counter) = &s.counter {
+            settings["counter"] =
+                json!({ "address": self.counter[2].to_string(), "key_file": format!("keys/{me}.key") });
+            lay(&counter.call, &mut settings["counter"]);
+        }
         lay(&s.gateways.settings, &mut settings);
         settings
     }
@@ -617,13 +637,100 @@
         self.control(self.introspection, control).await;
     }
 
+    // ---- Counter ----
+
+    /// A caller's secret.
+    pub fn counter_secret(&self, gateway: u16) -> String {
+        format!("counter secret of {gateway} in run {}", self.seed)
+    }
+
+    fn write_counter(&self) -> Result<(), String> {
+        let Some(counter) = &self.scenario.counter else { return Ok(()) };
+        let keys = self.dir.join("keys");
+        std::fs::create_dir_all(&keys).map_err(|e| format!("{}: {e}", keys.display()))?;
+        let gateways = 0..self.doors.len() as u16;
+        let adders = (0..counter.adders as u16).map(|k| frostgauge_standins::adders::FIRST + k);
+        for number in gateways.chain(adders) {
+            write_whole(&keys.join(format!("{number}.key")), &self.counter_secret(number), true)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the counter; `anew`: with nothing.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn start_counter(&self, anew: bool) -> Result<(), String> {
+        let Some(counter) = &self.scenario.counter else { return Err("there is no counter".into()) };
+        let mut s = self.state();
+        if anew {
+            let folder = self.dir.join(format!("counter-{}", s.counter_folders.len()));
+            s.counter_folders.push(folder);
+        }
+        let data = s.counter_folders.last().ok_or("no folder")?.display().to_string();
+        let mut settings = json!({
+            "listen": self.counter[0].to_string(), "admin": self.counter[1].to_string(),
+            // The whole log is kept, to be counted anew after the run.
+            "data": data, "keys": "keys", "limits": { "keep_log": true },
+        });
+        lay(&counter.settings, &mut settings);
+        let path = self.dir.join("counter.jsonnet");
+        write_whole(&path, &format!("{settings:#}"), false)?;
+        let log = self.dir.join("counter.log");
+        let args = ["counter-daemon", "--config", &path.display().to_string()];
+        s.counter = Some(Process::start(&self.program, "counter", &args, &log)?);
+        drop(s);
+        let end = Instant::now() + READY;
+        while std::net::TcpStream::connect_timeout(&self.counter[0], Duration::from_secs(1)).is_err() {
+            let ended = self.state().counter.as_mut().and_then(Process::ended);
+            if ended.is_some() || Instant::now() > end {
+                return Err(format!("counter: {}", std::fs::read_to_string(&log).unwrap_or_default()));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Ok(())
+    }
+
+    /// Kills the counter.
+    pub fn kill_counter(&self) {
+        let process = self.state().counter.take();
+        if let Some(mut process) = process {
+            process.kill();
+        }
+    }
+
+    /// Signals the counter.
+    pub fn signal_counter(&self, signal: Signal) {
+        if let Some(process) = &self.state().counter {
+            process.signal(signal);
+        }
+    }
+
+    /// Tells the counter to end, and waits for it.
+    pub fn end_counter(&self) {
+        let Some(mut process) = self.state().counter.take() else { return };
+        process.signal(Signal::CONT);
+        process.signal(Signal::TERM);
+        let end = Instant::now() + READY;
+        let code = loop {
+            match process.ended() {
+                Some(code) => break Some(code),
+                None if Instant::now() > end => break None,
+                None => std::thread::sleep(Duration::from_millis(10)),
+            }
+        };
+        if code != Some(0) {
+            self.state().facts.unclean.push(format!("counter: {code:?}"));
+        }
+    }
+
     /// Notes processes that ended by themselves.
     pub fn look_for_dead(&self) {
         let mut s = self.state();
-        let State { nodes, gateways, introspection, facts, .. } = &mut *s;
+        let State { nodes, gateways, introspection, counter, facts, .. } = &mut *s;
         let nodes = nodes.iter_mut().filter_map(|n| n.process.as_mut());
         let gateways = gateways.iter_mut().filter_map(|g| g.process.as_mut());
-        for process in nodes.chain(gateways).chain(introspection.as_mut()) {
+        for process in nodes.chain(gateways).chain(introspection.as_mut()).chain(counter.as_mut()) {
             // A node that fell over is told by its ledger.
             match process.ended() {
                 Some(code) if code != node::FELL => {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod bench;
 pub mod checks;
+pub mod counted;
 pub mod facts;
 pub mod fleet;
 pub mod process;
+pub mod quota;
 pub mod report;
 pub mod roles;
 pub mod run;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -24,6 +24,8 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(fail)?;
         let child = Command::new(program)
             .args(args)
+            // What gateways are told by the counter is part of what is checked.
+            .env("FROSTGAUGE_LOG", "info,frostgauge_counter_calls=debug")
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -18,6 +18,10 @@
     pub unmet: Vec<String>,
     /// Operations begun, and those served in the end.
     pub operations: (u64, u64),
+    /// How well quotas were kept.
+    pub quota: Value,
+    /// Counts of the counter, where there is one.
+    pub counter: Option<Value>,
 }
 
 /// Microseconds of the served tries.
@@ -62,6 +66,8 @@
             "operations": self.operations.0,
             "operations_served": self.operations.1,
             "rules": rules,
+            "quota": self.quota,
+            "counter": self.counter,
             "unmet": self.unmet,
             "latency_ms": ms,
         })
--- a/crates/rig/src/roles.rs
+++ b/crates/rig/src/roles.rs
@@ -19,6 +19,16 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Be a counter, as `frostgauge-counter` is.
+    #[command(hide = true)]
+    CounterDaemon {
+        /// The settings.
+        #[arg(long)]
+        config: PathBuf,
+        /// Write nothing.
+        #[arg(long)]
+        no_log: bool,
+    },
     /// Be a stand-in claims node.
     #[command(hide = true)]
     Node {
@@ -81,12 +91,20 @@
     }
 }
 
+/// Tells this process to end once its rig is gone; the daemons themselves know nothing of a rig.
+fn end_with_parent() {
+    std::thread::spawn(|| {
+        futures_lite::future::block_on(orphaned());
+        let _ = rustix::process::kill_process(rustix::process::getpid(), rustix::process::Signal::TERM);
+    });
+}
+
 /// Plays a role to its end; the exit code.
 pub fn play(role: &Role) -> u8 {
     let executor = Arc::new(Executor::new());
     let work = async {
         match role {
-            Role::Daemon { .. } => Ok(()),
+            Role::Daemon { .. } | Role::CounterDaemon { .. } => Ok(()),
             Role::Echo { ports } => {
                 for _ in 0..*ports {
                     let listener = bind(([127, 0, 0, 1], 0).into())?;
@@ -116,9 +134,18 @@
             }
         }
     };
-    if let Role::Daemon { config } = role {
-        frostgauge_gateway::log::init(true);
-        return frostgauge_gateway::daemon::run(config);
+    match role {
+        Role::Daemon { config } => {
+            frostgauge_gateway::log::init(true);
+            end_with_parent();
+            return frostgauge_gateway::daemon::run(config);
+        }
+        Role::CounterDaemon { config, no_log } => {
+            frostgauge_counter::log(true);
+            end_with_parent();
+            return frostgauge_counter::daemon::run(config, *no_log);
+        }
+        _ => {}
     }
     // The measures run on as many threads as a gateway does.
     if let Role::Echo { .. } | Role::Relay { .. } = role {
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -1,17 +1,23 @@
 //! One run of a scenario: start, play, end, check.
 
 use crate::checks::{self, Recorded, Terms};
+use crate::counted::{self, Told};
 use crate::facts::Facts;
 use crate::fleet::Fleet;
+use crate::quota;
 use crate::report::Report;
 use crate::scenario::Scenario;
 use crate::script::{self, Stage};
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use frostgauge_standins::backplane::Backplane;
+use frostgauge_standins::adders::{self, Adders};
 use frostgauge_standins::ledger;
+use frostgauge_standins::lossy::Lossy;
 use frostgauge_standins::tablets::{Class, Insurer, Outcome, Tablets, Try};
+use frostgauge_proto::counter::Key;
 use futures_lite::future;
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -33,6 +39,8 @@
 pub struct Site {
     /// Its processes.
     pub fleet: Arc<Fleet>,
+    /// The path to the counter.
+    pub lossy: Arc<Lossy>,
     /// What the rig itself runs on.
     pub executor: Arc<Executor<'static>>,
     stop: Option<frostgauge_net::Hold>,
@@ -56,13 +64,19 @@
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
         let backplane: SocketAddr = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         let fleet = Arc::new(Fleet::start(program, scenario, dir, seed, backplane)?);
+        let lossy = Arc::new(Lossy::default());
+        if fleet.scenario.counter.is_some() {
+            let path = frostgauge_net::listen(fleet.counter[2]).map_err(|e| e.to_string())?;
+            let run = lossy.clone().run(path, executor.clone(), fleet.counter[0], seed);
+            executor.spawn(run).detach();
+        }
         let s = &fleet.scenario;
         let rates = fleet.insurers().iter().map(|i| (i.0.clone(), s.plans[&i.1].rate)).collect();
         let (period, late) =
             (Duration::from_millis(s.meter.period_ms), Duration::from_millis(s.meter.late_ms));
         let meter = Backplane::new(period, late, rates);
         executor.spawn(meter.run(listener, executor.clone())).detach();
-        Ok(Site { fleet, executor, stop: Some(stop), threads })
+        Ok(Site { fleet, lossy, executor, stop: Some(stop), threads })
     }
 }
 
@@ -162,14 +176,21 @@
     let began = Instant::now();
     let end = began + Duration::from_secs_f64(s.seconds);
     tablets.start(executor, end);
-    let stage = Stage { fleet: fleet.clone(), tablets: tablets.clone(), tokens: Arc::new(list) };
+    let adders = s.counter.as_ref().map(|c| {
+        let key = |k| Key::derive(fleet.counter_secret(adders::FIRST + k).as_bytes());
+        let keys = (0..c.adders as u16).map(key).collect();
+        Adders::start(executor, fleet.counter[2], keys, c.adder_per_s, end, seed)
+    });
+    let lossy = site.lossy.clone();
+    let stage = Stage { fleet: fleet.clone(), tablets: tablets.clone(), lossy, tokens: Arc::new(list) };
     script::start(&stage, executor, began);
     while Instant::now() < end {
         Timer::after(Duration::from_secs(1).min(end.saturating_duration_since(Instant::now()))).await;
         let (at, ops, open) = (began.elapsed().as_secs(), tablets.begun(), tablets.open());
         progress(&format!("{at:>4} s of {:.0}: {ops} operations begun, {open} open", s.seconds));
     }
-    while tablets.open() > 0 && end.elapsed() < TAIL {
+    let adding = || adders.as_ref().map_or(0, |a| a.open());
+    while (tablets.open() > 0 || adding() > 0) && end.elapsed() < TAIL {
         Timer::after(Duration::from_millis(20)).await;
     }
     let hanging = tablets.open();
@@ -181,18 +202,52 @@
         // A step may just be starting one anew.
         fleet.end_gateway(k);
     }
-    check(fleet, &named, &tablets, strays, hanging, seed, &notes)
+    fleet.end_counter();
+    check(site, &named, &tablets, adders.as_deref(), strays, hanging, seed, &notes)
+}
+
+/// What the counter's files and its callers' notes come to: violations, and counts for the report.
+fn counted(site: &Site, adders: Option<&Adders>) -> Result<Option<(Vec<String>, Value)>, String> {
+    let (fleet, Some(adders)) = (&site.fleet, adders) else { return Ok(None) };
+    let mut told: Vec<Told> = vec![];
+    for k in 0..fleet.doors.len() {
+        told.extend(counted::from_log(&fleet.dir.join(format!("gateway-{k}.log")), k as u16));
+    }
+    let of_gateways = told.len();
+    for (gateway, a) in adders.told() {
+        let total = a.total.and_then(frostgauge_count::sub_units);
+        let (epoch, seq, amount) = (a.told.epoch, a.told.seq, a.told.amount);
+        told.push(Told { gateway, epoch, seq, counter: a.counter, amount, total, unsure: a.unsure });
+    }
+    let folders = fleet.state().counter_folders.clone();
+    let files = folders.iter().map(counted::Files::read).collect::<Result<Vec<_>, _>>()?;
+    let mut found = counted::check(&files, &told, |gateway| gateway >= adders::FIRST);
+    let open = adders.open();
+    if open > 0 {
+        found.push(format!("{open} calls of the adders were never answered"));
+    }
+    let count = |sure: fn(&Told) -> bool| told.iter().filter(|t| sure(t)).count();
+    let (lost, passed) = site.lossy.counts();
+    let figures = json!({
+        "calls": told.len(), "of_gateways": of_gateways, "in_log": files.iter().map(counted::Files::len).sum::<usize>(),
+        "totals": count(|t| t.total.is_some()), "unsure": count(|t| t.unsure),
+        "refused": count(|t| t.total.is_none() && !t.unsure), "replies_lost": lost, "replies_passed": passed,
+    });
+    Ok(Some((found, figures)))
 }
 
+#[allow(clippy::too_many_arguments, reason = "what a run left, used once")]
 fn check(
-    fleet: &Fleet,
+    site: &Site,
     named: &[(String, String, usize, usize, f64)],
     tablets: &Tablets,
+    adders: Option<&Adders>,
     strays: u64,
     hanging: usize,
     seed: u64,
     notes: &Path,
 ) -> Result<Report, String> {
+    let fleet = &site.fleet;
     let s = &fleet.scenario;
     let facts: Facts = fleet.state().facts.clone();
     if let Ok(text) = serde_json::to_string_pretty(&facts) {
@@ -224,7 +279,7 @@
         fall: s.nodes.rules.fall_ms * 1_000,
         fresh: fresh.unwrap_or(frostgauge_settings::Introspection::default().fresh_ms) * 1_000,
     };
-    let rules = BTreeMap::from([
+    let mut rules = BTreeMap::from([
         ("answered", checks::answered(&tries, strays, &facts, &terms)),
         ("effects", checks::effects(&tries, &nodes, &terms)),
         ("drains", checks::drains(&nodes, &facts, &terms)),
@@ -233,6 +288,12 @@
         ("spill", checks::spill(&nodes, &terms)),
         ("tokens", checks::tokens(&tries, &facts, &terms)),
     ]);
+    let counter = counted(site, adders)?.map(|(found, figures)| {
+        rules.insert("counted", found);
+        figures
+    });
+    let units = s.classes.iter().map(|(n, c)| (n.clone(), c.units)).collect();
+    let quota = quota::quality(&tries, &nodes, &terms, &units);
     let ops: BTreeSet<&str> = tries.iter().map(|t| t.op.as_str()).collect();
     let ended = |outcomes: &[Outcome]| {
         let some = tries.iter().filter(|t| outcomes.contains(&t.outcome));
@@ -257,5 +318,5 @@
     );
     expect(share(failed) <= e.failed, format!("failed: {:.3}, at most {} expected", share(failed), e.failed));
     expect(!e.clean_end || facts.unclean.is_empty(), format!("ends: {}", facts.unclean.join(", ")));
-    Ok(Report { seed, tries, rules, unmet, operations: (begun, served) })
+    Ok(Report { seed, tries, rules, unmet, operations: (begun, served), quota, counter })
 }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -38,6 +38,9 @@
     /// The meter.
     #[serde(default)]
     pub meter: Meter,
+    /// The shared counter; none: there is none.
+    #[serde(default)]
+    pub counter: Option<Counter>,
     /// What happens.
     #[serde(default)]
     pub steps: Vec<Step>,
@@ -169,6 +172,20 @@
     }
 }
 
+/// The shared counter and those who call it beside the gateways.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Counter {
+    /// Callers of their own, who tally what they add.
+    pub adders: usize,
+    /// Calls a second of each.
+    pub adder_per_s: f64,
+    /// Laid over the counter's settings.
+    pub settings: Value,
+    /// Laid over the gateways' `counter` section.
+    pub call: Value,
+}
+
 /// What must come of a day, beside the rules.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -225,6 +242,9 @@
             &format!("steps[{k}].at"),
             "is not within the day",
         );
+        if scenario.counter.is_none() && step.trouble.needs_counter() {
+            need(false, &format!("steps[{k}]"), "needs a counter, and there is none");
+        }
         if let Err(reason) = step.trouble.check() {
             need(false, &format!("steps[{k}]"), &reason);
         }
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -2,10 +2,11 @@
 
 use crate::facts::Span;
 use crate::fleet::{Fleet, Listed};
-use crate::steps::Trouble;
+use crate::steps::{Back, Down, Trouble};
 use async_executor::Executor;
 use async_io::Timer;
 use frostgauge_standins::introspection::{Control as TokenControl, Mode};
+use frostgauge_standins::lossy::Lossy;
 use frostgauge_standins::node::Control;
 use frostgauge_standins::now;
 use frostgauge_standins::tablets::Tablets;
@@ -33,6 +34,8 @@
     pub fleet: Arc<Fleet>,
     /// The clients.
     pub tablets: Arc<Tablets>,
+    /// The path to the counter.
+    pub lossy: Arc<Lossy>,
     /// Insurers and their number of tokens, for revocations.
     pub tokens: Arc<Vec<(String, usize)>>,
 }
@@ -304,6 +307,33 @@
                 fleet.control_introspection(&TokenControl { revoke, ..TokenControl::default() }).await;
                 fleet.state().facts.no_verdicts.push((from, now()));
             }
+            CounterDown { how: Down::Silent, back: Back::Kept, len } => {
+                fleet.signal_counter(Signal::STOP);
+                wait(*len).await;
+                fleet.signal_counter(Signal::CONT);
+            }
+            CounterDown { how, back, len } => {
+                match how {
+                    Down::Silent => fleet.signal_counter(Signal::STOP),
+                    Down::Refusing => fleet.kill_counter(),
+                }
+                wait(*len).await;
+                fleet.kill_counter();
+                fleet.start_counter(*back == Back::Empty)?;
+            }
+            CounterKill { times, every, down } => {
+                for _ in 0..*times {
+                    fleet.kill_counter();
+                    wait(*down).await;
+                    fleet.start_counter(false)?;
+                    wait((every - down).max(0.0)).await;
+                }
+            }
+            ReplyLost { rate, len } => {
+                self.lossy.lose(*rate);
+                wait(*len).await;
+                self.lossy.lose(0.0);
+            }
             Revoke { tokens } => {
                 let revoke: Vec<String> = {
                     let mut s = fleet.state();
--- a/crates/rig/src/steps.rs
+++ b/crates/rig/src/steps.rs
@@ -13,9 +13,6 @@
     pub trouble: Trouble,
 }
 
-/// Known kinds of trouble that cannot be played yet.
-pub const NOT_YET: [&str; 1] = ["counter_down"];
-
 /// What can be played. `part` is the share of nodes or gateways that it meets, `len` seconds.
 #[allow(missing_docs, reason = "each variant's line tells its fields")]
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -77,6 +74,13 @@
     IntrospectionHalf { len: f64 },
     /// It is killed, and started again after `down` seconds.
     IntrospectionRestart { down: f64 },
+    /// The counter is not there for `len` seconds, silent or refusing connections, and returns with its
+    /// numbers or empty.
+    CounterDown { how: Down, back: Back, len: f64 },
+    /// The counter is killed so many times, `every` so many seconds, and started again after `down`.
+    CounterKill { times: u32, every: f64, down: f64 },
+    /// A share of the counter's replies is lost.
+    ReplyLost { rate: f64, len: f64 },
     /// Some tokens are revoked for good.
     Revoke { tokens: usize },
     /// Gateways reload the settings they have.
@@ -85,7 +89,35 @@
     BadReload {},
 }
 
+/// How a counter is not there.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Down {
+    /// Connections stand and nothing comes.
+    Silent,
+    /// Connections are refused.
+    Refusing,
+}
+
+/// With what a counter returns.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Back {
+    /// With its numbers.
+    Kept,
+    /// With none.
+    Empty,
+}
+
 impl Trouble {
+    /// Whether it happens to the counter.
+    pub fn needs_counter(&self) -> bool {
+        matches!(
+            self,
+            Trouble::CounterDown { .. } | Trouble::CounterKill { .. } | Trouble::ReplyLost { .. }
+        )
+    }
+
     /// Whether its figures make sense.
     ///
     /// # Errors
@@ -113,7 +145,7 @@
             Deploy { batch, .. } | BalancerRoll { batch, .. } if !(0.01..=1.0).contains(batch) => {
                 Err("batch is not between 0.01 and 1".into())
             }
-            FastErrors { rate, .. } | Cut { rate, .. } if !(0.0..=1.0).contains(rate) => {
+            FastErrors { rate, .. } | Cut { rate, .. } | ReplyLost { rate, .. } if !(0.0..=1.0).contains(rate) => {
                 Err("rate is not between 0 and 1".into())
             }
             Full { rate, .. } if !(0.0..=0.5).contains(rate) => Err("rate is not between 0 and 0.5".into()),
@@ -133,9 +165,6 @@
         };
         let at = members.remove("at").and_then(|at| at.as_f64());
         let at = at.ok_or_else(|| D::Error::custom("a step needs `at`, in seconds"))?;
-        if let Some(name) = members.get("do").and_then(Value::as_str).filter(|n| NOT_YET.contains(n)) {
-            return Err(D::Error::custom(format!("{name} is a known trouble but cannot be played yet")));
-        }
         let trouble = Trouble::deserialize(value).map_err(D::Error::custom)?;
         Ok(Step { at, trouble })
     }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -70,6 +70,11 @@
     c.figure(r.cold_from, "rules.cold_from".into());
     c.figure(r.fall_multiple, "rules.fall_multiple".into());
     limits(&mut c, f);
+    if let Some(call) = &f.counter {
+        c.that(call.address.port() > 0, "counter.address", "has port 0");
+        c.that((1..=10_000).contains(&call.limit_ms), "counter.limit_ms", "is not between 1 and 10000");
+        c.that(call.repeat_ms > 0, "counter.repeat_ms", "is zero");
+    }
     if let Some(policy) = &f.zone_policy {
         zone_policy(&mut c, f, policy);
     }
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -35,6 +35,31 @@
     pub limits: Limits,
     /// Preference between zones; none: they are alike.
     pub zone_policy: Option<ZonePolicy>,
+    /// The shared counter; none: gateways go by each other's word and the meter.
+    pub counter: Option<CounterCall>,
+}
+
+/// How the shared counter is called.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CounterCall {
+    /// Its address.
+    pub address: SocketAddr,
+    /// A file with this gateway's secret, as the counter has it.
+    pub key_file: PathBuf,
+    /// A call without an answer by then ends, milliseconds.
+    #[serde(default = "count_limit")]
+    pub limit_ms: u64,
+    /// A call without an answer is repeated after this, milliseconds; the service counts it once.
+    #[serde(default = "count_repeat")]
+    pub repeat_ms: u64,
+}
+
+fn count_limit() -> u64 {
+    80
+}
+fn count_repeat() -> u64 {
+    30
 }
 
 /// This gateway.
@@ -518,7 +543,7 @@
     }
 }
 
-const SECTIONS: [&str; 12] = [
+const SECTIONS: [&str; 13] = [
     "gateway",
     "fleet",
     "introspection",
@@ -531,6 +556,7 @@
     "rules",
     "limits",
     "zone_policy",
+    "counter",
 ];
 
 /// Reads a value into the shape of a file.
@@ -546,7 +572,7 @@
     let (classes, plans, insurers) = (s.map("classes"), s.map("plans"), s.map("insurers"));
     let (routes, zones, nodes) = (s.list("routes"), s.list("zones"), s.list("nodes"));
     let (rules, limits) = (s.optional("rules"), s.optional("limits"));
-    let zone_policy = s.optional("zone_policy");
+    let (zone_policy, counter) = (s.optional("zone_policy"), s.optional("counter"));
     let file = (|| {
         Some(File {
             gateway: gateway?,
@@ -561,6 +587,7 @@
             rules: rules?,
             limits: limits?,
             zone_policy: zone_policy?,
+            counter: counter?,
         })
     })();
     file.filter(|_| s.faults.is_empty()).ok_or(Faults(s.faults))
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,11 +2,13 @@
 //! told with the path of the field at fault; a file with any error changes nothing.
 
 mod check;
+mod counter;
 mod file;
 mod loaded;
 mod secret;
 mod template;
 
+pub use counter::{load_counter, CounterFile, CounterLimits, CounterLoaded};
 pub use file::*;
 pub use loaded::{customer_id, server_id, Insurer, Loaded, Node, Route, Routed};
 pub use secret::Secret;
--- a/crates/settings/src/loaded.rs
+++ b/crates/settings/src/loaded.rs
@@ -94,6 +94,8 @@
     pub client_secret: Secret,
     /// The gateways' shared secret, where they talk to each other.
     pub peer_secret: Option<Secret>,
+    /// This gateway's secret for the counter, where there is one.
+    pub counter_secret: Option<Secret>,
 }
 
 impl Route {
@@ -140,6 +142,7 @@
         c.that(new.plans == old.plans, "plans", reason);
         c.that(new.rules == old.rules, "rules", reason);
         c.that(new.zone_policy == old.zone_policy, "zone_policy", reason);
+        c.that(new.counter == old.counter, "counter", reason);
         let kept = new.zones.get(..old.zones.len()) == Some(&old.zones[..]);
         c.that(kept, "zones", "takes one away or changes their order; that needs a restart");
         let l = |l: &Limits| (l.attempts, l.retry_after_ms, l.reports, l.probe_path.clone(), l.meter_ms);
@@ -178,6 +181,10 @@
         Some(name) if !file.fleet.peers.is_empty() => secret(&mut c, "fleet.peer_secret_file", name),
         _ => None,
     };
+    let counter_secret = file.counter.as_ref().and_then(|call| {
+        let secret = secret(&mut c, "counter.key_file", &call.key_file)?;
+        secret.lines().into_iter().next()
+    });
     distinct(&mut c, file.insurers.keys().map(|name| (customer_id(name).0, format!("insurers.{name}"))));
     let ids = file.nodes.iter().map(|n| (server_id(n.address).0, n.address));
     // One address named twice is told by the check itself.
@@ -229,6 +236,7 @@
         nodes: nodes.collect(),
         client_secret,
         peer_secret,
+        counter_secret,
         file,
     })
 }
@@ -300,6 +308,8 @@
                 crate::Reports::Probe => frostgauge::Reports::Probe,
                 crate::Reports::None => frostgauge::Reports::None,
             },
+            counter: f.counter.is_some(),
+            count_limit: f.counter.as_ref().map_or(0, |c| c.limit_ms * MS),
             ..frostgauge::Allow::default()
         },
         rules: frostgauge::Rules {
--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -35,6 +35,12 @@
         Ok(Secret(bytes.to_vec()))
     }
 
+    /// Its lines, each a secret of its own; empty ones are left out.
+    pub fn lines(&self) -> Vec<Secret> {
+        let lines = self.0.split(|b| *b == b'\n').map(<[u8]>::trim_ascii).filter(|line| !line.is_empty());
+        lines.map(|line| Secret(line.to_vec())).collect()
+    }
+
     /// The bytes, for the one place that needs them.
     pub fn expose(&self) -> &[u8] {
         &self.0
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,9 +1,11 @@
 //! Stand-ins for what lies around a gateway, written from public specifications: an introspection server
 //! (RFC 7662), claims nodes, the nodes' common store, tablets. They keep ledgers of what crossed the sockets.
 
+pub mod adders;
 pub mod backplane;
 pub mod introspection;
 pub mod ledger;
+pub mod lossy;
 pub mod node;
 pub mod plain;
 pub mod serve;
