--- a/crates/count/src/machine.rs
+++ b/crates/count/src/machine.rs
@@ -27,7 +27,7 @@
 /// What is known of a gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Member {
-    /// Its epoch; grows with each process.
+    /// Its epoch; grows with each process, and is at least the time at which it was given.
     pub epoch: u64,
     /// The process.
     pub life: Nonce,
@@ -257,7 +257,9 @@
         match &record.op {
             Op::Open { gateway, life } => {
                 let before = self.members.get(gateway).cloned();
-                let epoch = before.as_ref().map_or(0, |m| m.epoch) + 1;
+                // Not counted from one: guards against a service that came back empty and gave an epoch that the
+                // caller has, who would then repeat what an earlier one had counted.
+                let epoch = (before.as_ref().map_or(0, |m| m.epoch) + 1).max(record.time);
                 self.members.insert(*gateway, Member { epoch, life: *life, ..Member::default() });
                 let member = (*gateway, before);
                 (epoch as i64, Undo { index, time, number: None, swept, member, add: None })
