--- a/src/choice.rs
+++ b/src/choice.rs
@@ -98,6 +98,7 @@
     sent: f64,
     heard: BTreeMap<usize, (u32, u32)>,
     uncounted: f64,
+    since: Micros,
     adding: f64,
     mending: f64,
     mend: f64,
@@ -137,7 +138,9 @@
         let (plan, even) = (&self.terms, 1.0 / self.spread as f64);
         let dt = seconds(now.saturating_sub(self.filled));
         self.level = (self.level + dt * plan.rate).min(plan.burst);
-        if self.demand(now) <= 1.0 {
+        // Silent, nothing else fills it: guards against a customer at its quota who gets nothing for seconds after
+        // the counter or the meter falls silent.
+        if self.demand(now) <= 1.0 || news == News::Silent {
             let part = if news == News::Silent { even } else { (HEADROOM * even).min(1.0) };
             self.credit = (self.credit + dt * plan.rate * part).min((plan.burst * part).max(FEWEST * units));
         }
@@ -402,7 +405,7 @@
         let reserve = if c.demand(now) > 1.0 { 0.0 } else { units };
         let mut leave = (c.next_leave.max(now) + (c.delay_ms * 1e3) as Micros).min(now + cap as Micros);
         out.push(Action::Timer { at: deadline, timer: TimerId(id.0 << 1) });
-        let asked = ask && self.call(customer, reserve, out);
+        let asked = ask && self.call(now, customer, reserve, out);
         let held = asked || !covered && leave > now;
         self.requests.insert(id, Request { held, ..r });
         if !held {
@@ -578,6 +581,7 @@
                 c.level -= units;
                 c.credit = (c.credit - units).max(0.0);
                 c.sent += units;
+                c.since = if c.uncounted > 0.0 { c.since } else { now };
                 c.uncounted += units;
                 self.changed.insert(customer);
             }
@@ -810,13 +814,19 @@
 
     /// Adds what is not counted yet and what is reserved for a waiting request to the counter, one call at a
     /// time. Its budget follows the counter's own speed: a crowded or silent one is called less by all.
-    fn call(&mut self, id: CustomerId, reserve: f64, out: Out) -> bool {
+    fn call(&mut self, now: Micros, id: CustomerId, reserve: f64, out: Out) -> bool {
         let Some(c) = self.customers.get_mut(&id) else { return false };
         if c.calling || self.calls < 1.0 {
             return c.calling;
         }
         self.calls -= 1.0;
         c.calling = true;
+        // What waited for longer than a whole burst takes to fill again was made up for meanwhile, at the even
+        // part of the rate. Guards against a counter that is back, is put right by the first who sees it, and then
+        // gets all that hundreds used during its outage: everybody at quota was refused for seconds.
+        let (plan, age) = (&c.terms, seconds(now.saturating_sub(c.since)));
+        let late = (age * plan.rate - plan.burst).max(0.0) / c.spread as f64;
+        c.uncounted = c.uncounted.min((c.uncounted - late).max(0.0));
         // What is reserved counts as used until the request goes; a refused one gives it back.
         c.adding = c.uncounted + reserve;
         c.uncounted = -reserve;
@@ -895,7 +905,7 @@
             if self.near && repeats {
                 self.publish(id);
             }
-            if due && (!self.call(id, 0.0, out) || self.calls < 1.0) {
+            if due && (!self.call(now, id, 0.0, out) || self.calls < 1.0) {
                 self.changed.insert(id);
             }
         }
