Quotas after an outage of the counter: only what an outage covers is made up for

Change: a gateway notes when the counter told it nothing for over a second; what a customer used within that span, past a burst's time, is taken as made up for.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -73,3 +73,29 @@
     assert!(*delay <= 60_000, "the queue stands: {:?}", counted.delay);
     assert_eq!(counted.wrong, 0);
 }
+
+/// Shares of a day's quotas that were not used, and of its units that went beyond them.
+fn quotas(counter: Option<CounterDay>, faults: Vec<(u64, Fault)>) -> (f64, f64) {
+    let mut sum = [0.0; 3];
+    for seed in 1..4 {
+        let (counter, faults) = (counter, faults.clone());
+        let sizes = Day { nodes: [8, 8, 8], per_s: 240.0, length: 36 * S, quiet: S, ..Day::draw(seed, 4) };
+        let outcome = run(&Day { quota: [4.0, 12.0], counter, faults, ..sizes }).expect("it runs");
+        (0..3).for_each(|k| sum[k] += outcome.quota[k]);
+    }
+    let [sent, inside, ideal] = sum;
+    ((ideal - inside) / ideal, (sent - inside) / sent)
+}
+
+#[test]
+fn an_outage_of_the_counter_costs_no_more_than_having_none() {
+    let counter = Some(CounterDay { sync: 1_000, each: 10, target: 10_000, lose: 0.0 });
+    let (with, _) = quotas(counter, vec![]);
+    let (without, _) = quotas(None, vec![]);
+    assert!(with < without / 2.0, "the counter buys something: {with} against {without}");
+    for silent in [true, false] {
+        let (unused, beyond) = quotas(counter, vec![(8 * S, Fault::CounterDown { silent, len: 12 * S })]);
+        assert!(unused < without, "{unused} unused through an outage, {without} without a counter");
+        assert!(beyond < 0.08, "{beyond} beyond the quotas");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,7 @@
 const COUNT_FRESH: Micros = 200_000; // µs; a total this young needs no second look
 const COUNT_LAG: f64 = 0.5; // of the burst; a total this far off is put right
 const COUNT_FAR: (f64, f64) = (4.0, 1e6); // bursts; µs, so often one of those who see it so far off mends it
+const OUTAGE: Micros = 1_000_000; // µs; a counter that told nothing for longer was away; many calls' time
 const CALLS: (f64, f64, f64) = (0.05, 1.5, 10.0); // least, to see a counter return; most; saved
 const CALLS_SPEED: (f64, f64) = (1.1, 0.7); // a quick reply raises the calls, a slow one lowers them
 const QUICK: Micros = 8; // a reply within this part of a call's time limit is quick
@@ -313,6 +314,8 @@
     told: Micros,
     calls: f64,
     call_share: f64,
+    heard: Micros,
+    outage: (Micros, Micros),
     changed: BTreeSet<CustomerId>,
     begun: bool,
 }
@@ -350,6 +353,8 @@
             outbox: vec![BTreeSet::new(); n],
             calls: CALLS.2 / 2.0,
             call_share: 1.0,
+            heard: now,
+            outage: (0, 0),
             settings,
             ..Gateway::default()
         })
@@ -821,11 +826,13 @@
         }
         self.calls -= 1.0;
         c.calling = true;
-        // What waited for longer than a whole burst takes to fill again was made up for meanwhile, at the even
-        // part of the rate. Guards against a counter that is back, is put right by the first who sees it, and then
-        // gets all that hundreds used during its outage: everybody at quota was refused for seconds.
-        let (plan, age) = (&c.terms, seconds(now.saturating_sub(c.since)));
-        let late = (age * plan.rate - plan.burst).max(0.0) / c.spread as f64;
+        // What was used while the counter told nothing for longer than a whole burst takes to fill again was made
+        // up for meanwhile, at the even part of the rate. Guards against a counter that is back, is put right by
+        // the first who sees it, and then gets all that hundreds used: everybody at quota was refused for seconds.
+        let (plan, now_out) = (&c.terms, now > self.heard + OUTAGE);
+        let (from, to) = if now_out { (self.heard, now) } else { self.outage };
+        let out_s = seconds(to.saturating_sub(from.max(c.since)));
+        let late = (out_s * plan.rate - plan.burst).max(0.0) / c.spread as f64;
         c.uncounted = c.uncounted.min((c.uncounted - late).max(0.0));
         // What is reserved counts as used until the request goes; a refused one gives it back.
         c.adding = c.uncounted + reserve;
@@ -858,6 +865,10 @@
         c.calling = false;
         let (added, mending) = (std::mem::take(&mut c.adding), std::mem::take(&mut c.mending));
         if let Some(total) = total.filter(|t| t.is_finite()) {
+            if now > self.heard + OUTAGE {
+                self.outage = (self.heard, now);
+            }
+            self.heard = now;
             c.refill(now, 0.0, News::Told);
             let plan = &c.terms;
             let drawn = total - plan.rate * seconds(now % COUNT_WRAP);
