Callers of the counter earn repeats by time too

Change: one repeat a second besides those that calls earn. Repeats at 400 gateways: 400 a second at most while a service says nothing.

--- a/crates/count/src/calls.rs
+++ b/crates/count/src/calls.rs
@@ -12,6 +12,9 @@
 const PIPELINE: usize = WINDOW as usize / 2;
 /// Repeats a call earns, and most saved up: a service that loses every reply gets a fifth more calls, no more.
 const BUDGET: (f64, f64) = (0.2, 20.0);
+/// Repeats earned a second besides, so that one who calls seldom, or has stopped, still learns what became of its
+/// calls: nothing beside what a service does.
+const TRICKLE: f64 = 1.0;
 /// A service that says nothing for so many time limits, though asked, is taken for gone: guards against a
 /// connection that stands while nobody is there.
 const SILENT: u64 = 3;
@@ -120,6 +123,7 @@
     seq: u64,
     out: BTreeMap<u64, Call>,
     budget: f64,
+    earned: Micros,
     pause: Micros,
     dice: u64,
     /// When the service was last heard, and since when it owes a word.
@@ -137,6 +141,7 @@
             seq: 0,
             out: BTreeMap::new(),
             budget: BUDGET.1,
+            earned: 0,
             pause: PAUSE.0,
             dice: seed | 1,
             owed: None,
@@ -175,7 +180,7 @@
     /// The library calls. Answered at once where nothing can come of it in time.
     pub fn call(&mut self, now: Micros, counter: u64, amount: f64, ttl: Micros, out: &mut Vec<Do>) {
         self.tally.calls += 1;
-        self.budget = (self.budget + BUDGET.0).min(BUDGET.1);
+        self.earn(now, BUDGET.0);
         let amount = sub_units(amount);
         let life_ms = u32::try_from(ttl / 1_000).unwrap_or(u32::MAX).max(1);
         // Sequences out lie within the pipeline of each other, not only in number: the oldest must still be in
@@ -199,7 +204,13 @@
         }
     }
 
+    fn earn(&mut self, now: Micros, calls: f64) {
+        let since = now.saturating_sub(std::mem::replace(&mut self.earned, now)) as f64 / 1e6;
+        self.budget = (self.budget + calls + since * TRICKLE).min(BUDGET.1);
+    }
+
     fn send(&mut self, now: Micros, seq: u64, out: &mut Vec<Do>) {
+        self.earn(now, 0.0);
         let (epoch, limit) = (self.epoch, self.config.limit);
         let Some(call) = self.out.get_mut(&seq) else { return };
         if call.sends > 0 {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -139,8 +139,8 @@
         let (plan, even) = (&self.terms, 1.0 / self.spread as f64);
         let dt = seconds(now.saturating_sub(self.filled));
         self.level = (self.level + dt * plan.rate).min(plan.burst);
-        // Silent, nothing else fills it: guards against a customer at its quota who gets nothing for seconds after
-        // the counter or the meter falls silent.
+        // Silent, nothing else fills it: guards against a customer at its quota who gets nothing for seconds
+        // after the counter or the meter falls silent.
         if self.demand(now) <= 1.0 || news == News::Silent {
             let part = if news == News::Silent { even } else { (HEADROOM * even).min(1.0) };
             self.credit = (self.credit + dt * plan.rate * part).min((plan.burst * part).max(FEWEST * units));
@@ -826,9 +826,9 @@
         }
         self.calls -= 1.0;
         c.calling = true;
-        // What was used while the counter told nothing for longer than a whole burst takes to fill again was made
+        // What was used while the counter told nothing for longer than a burst takes to fill again was made
         // up for meanwhile, at the even part of the rate. Guards against a counter that is back, is put right by
-        // the first who sees it, and then gets all that hundreds used: everybody at quota was refused for seconds.
+        // the first who sees it, and then gets all that hundreds used: all at quota were refused for seconds.
         let (plan, now_out) = (&c.terms, now > self.heard + OUTAGE);
         let (from, to) = if now_out { (self.heard, now) } else { self.outage };
         let out_s = seconds(to.saturating_sub(from.max(c.since)));
@@ -872,8 +872,8 @@
             c.refill(now, 0.0, News::Told);
             let plan = &c.terms;
             let drawn = total - plan.rate * seconds(now % COUNT_WRAP);
-            // A name older than the wrap still stands at the time before it. Guards against a store that looks
-            // overdrawn to everyone every ten minutes.
+            // A name older than the wrap still stands at the time before it. Guards against a store that
+            // looks overdrawn to everyone every ten minutes.
             let lap = plan.rate * seconds(COUNT_WRAP);
             let real = if drawn > (lap / 2.0).max(4.0 * plan.burst) { drawn - lap } else { drawn };
             let right = real.clamp(0.0, 2.0 * plan.burst);
