Bench of the counter with a slower sync too; shares count the counter's parts

Need: this machine's fdatasync takes some 80 us; disks in use take a millisecond.

Change: frostgauge-rig bench counter measures with each sync 1 ms longer as well, service and bare loop alike.

--- a/crates/counter/src/bin/frostgauge-counter.rs
+++ b/crates/counter/src/bin/frostgauge-counter.rs
@@ -20,5 +20,5 @@
 fn main() -> ExitCode {
     let options = Options::parse();
     frostgauge_counter::log(options.json);
-    ExitCode::from(frostgauge_counter::daemon::run(&options.config, false))
+    ExitCode::from(frostgauge_counter::daemon::run(&options.config, false, std::time::Duration::ZERO))
 }
--- a/crates/counter/src/daemon.rs
+++ b/crates/counter/src/daemon.rs
@@ -31,8 +31,9 @@
 /// How often it is looked whether the committing thread has ended, and metrics are published.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Runs a counter until SIGTERM or SIGINT. Returns the exit code. `no_log`: nothing is written, for measures.
-pub fn run(config: &Path, no_log: bool) -> u8 {
+/// Runs a counter until SIGTERM or SIGINT. Returns the exit code. For measures: `no_log`, nothing is written;
+/// `stretch`, each sync takes so much longer.
+pub fn run(config: &Path, no_log: bool, stretch: Duration) -> u8 {
     let loaded = match load_counter(config) {
         Ok(loaded) => loaded,
         Err(faults) => {
@@ -40,15 +41,15 @@
             return exit::START;
         }
     };
-    let started = if no_log { start(loaded, Nowhere::default(), true) } else { on_disk(loaded) };
+    let started = if no_log { start(loaded, Nowhere::default(), true) } else { on_disk(loaded, stretch) };
     started.unwrap_or_else(|reason| {
         eprintln!("frostgauge-counter: {reason}");
         exit::START
     })
 }
 
-fn on_disk(loaded: CounterLoaded) -> Result<u8, String> {
-    let disk = Disk::take(&loaded.file.data)?;
+fn on_disk(loaded: CounterLoaded, stretch: Duration) -> Result<u8, String> {
+    let disk = Disk::take(&loaded.file.data)?.stretched(stretch);
     start(loaded, disk, false)
 }
 
--- a/crates/counter/src/storage.rs
+++ b/crates/counter/src/storage.rs
@@ -6,6 +6,7 @@
 use std::io::{self, ErrorKind};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// A folder of files. Nothing is durable before a `sync` of the file that returned, no name before a
 /// `sync_folder`; after a failed sync nothing more may be believed of that file.
@@ -86,6 +87,8 @@
     folder: PathBuf,
     open: BTreeMap<String, File>,
     _lock: Option<File>,
+    /// Each sync takes so much longer: a slower disk, for measures.
+    stretch: Duration,
 }
 
 /// The file whose lock tells that the folder is in use.
@@ -112,12 +115,23 @@
         }
         lock.set_len(0).map_err(fail)?;
         lock.write_all_at(format!("{}\n", std::process::id()).as_bytes(), 0).map_err(fail)?;
-        Ok(Disk { folder: folder.to_path_buf(), open: BTreeMap::new(), _lock: Some(lock) })
+        Ok(Disk {
+            folder: folder.to_path_buf(),
+            open: BTreeMap::new(),
+            _lock: Some(lock),
+            stretch: Duration::ZERO,
+        })
+    }
+
+    /// The same, each sync taking so much longer: a slower disk, for measures.
+    #[must_use]
+    pub fn stretched(self, stretch: Duration) -> Disk {
+        Disk { stretch, ..self }
     }
 
     /// Looks at a folder that may be in use; for reading alone.
     pub fn look(folder: &Path) -> Disk {
-        Disk { folder: folder.to_path_buf(), open: BTreeMap::new(), _lock: None }
+        Disk { folder: folder.to_path_buf(), open: BTreeMap::new(), _lock: None, stretch: Duration::ZERO }
     }
 
     fn file(&mut self, name: &str) -> io::Result<&File> {
@@ -165,7 +179,11 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_data()
+        self.file(name)?.sync_data()?;
+        if !self.stretch.is_zero() {
+            std::thread::sleep(self.stretch);
+        }
+        Ok(())
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
--- a/crates/rig/src/bench_counter.rs
+++ b/crates/rig/src/bench_counter.rs
@@ -24,6 +24,8 @@
 const SIZES: [usize; 3] = [1, 16, 400];
 /// Threads of the callers.
 const THREADS: usize = 2;
+/// A sync that takes so much longer: this machine's disk may be far faster than those in use.
+const STRETCH: Duration = Duration::from_millis(1);
 /// Adds of the logs whose recovery is timed, and how many make a group.
 const LOGS: [u64; 3] = [10_000, 100_000, 1_000_000];
 const GROUP: u64 = 200;
@@ -35,7 +37,7 @@
     admin: SocketAddr,
 }
 
-fn start(program: &Path, folder: &Path, name: &str, no_log: bool) -> Result<Service, String> {
+fn start(program: &Path, folder: &Path, name: &str, more: &[&str]) -> Result<Service, String> {
     let ([address, admin], _held) = some_ports()?;
     let config = folder.join(format!("{name}.jsonnet"));
     // No snapshots: the log alone is measured.
@@ -46,7 +48,7 @@
     write_whole(&config, &settings.to_string(), false)?;
     let path = config.display().to_string();
     let mut args = vec!["counter-daemon", "--config", &path];
-    args.extend(no_log.then_some("--no-log"));
+    args.extend(more);
     let process = Process::start(program, name, &args, &folder.join("log"))?;
     let end = Instant::now() + Duration::from_secs(10);
     while std::net::TcpStream::connect(address).is_err() {
@@ -136,7 +138,7 @@
 }
 
 /// Groups a second of a bare loop: so many bytes appended, then `fdatasync`.
-fn bare(folder: &Path, bytes: usize, span: Duration) -> Result<f64, String> {
+fn bare(folder: &Path, bytes: usize, span: Duration, stretch: Duration) -> Result<f64, String> {
     let path = folder.join("bare");
     let work = || -> std::io::Result<f64> {
         let file = std::fs::File::create(&path)?;
@@ -144,6 +146,9 @@
         while began.elapsed() < span {
             file.write_all_at(&group, n * bytes as u64)?;
             file.sync_data()?;
+            if !stretch.is_zero() {
+                std::thread::sleep(stretch);
+            }
             n += 1;
         }
         Ok(n as f64 / began.elapsed().as_secs_f64())
@@ -219,8 +224,10 @@
         let (executor, stopped) = (executor.clone(), stopped.clone());
         std::thread::spawn(move || future::block_on(executor.run(stopped.wait())));
     }
-    let on_disk = start(program, folder.path(), "disk", false)?;
-    let no_log = start(program, folder.path(), "memory", true)?;
+    let on_disk = start(program, folder.path(), "disk", &[])?;
+    let no_log = start(program, folder.path(), "memory", &["--no-log"])?;
+    let stretch = STRETCH.as_micros().to_string();
+    let slow = start(program, folder.path(), "slow", &["--stretch-us", &stretch])?;
     let span = Duration::from_secs_f64(seconds);
     let (mut rows, mut ratios) = (vec![], vec![]);
     println!(
@@ -234,7 +241,7 @@
         for _ in 0..rounds {
             let (rate, h, batch) = load(&executor, &on_disk, callers, span)?;
             // The loop writes groups as large as the service's were in this very round.
-            let groups = bare(folder.path(), group_bytes(batch), span)?;
+            let groups = bare(folder.path(), group_bytes(batch), span, Duration::ZERO)?;
             let (rate_memory, h_memory, _) = load(&executor, &no_log, callers, span)?;
             disk.push(rate);
             loops.push(groups * batch);
@@ -256,8 +263,9 @@
             "batch": batch, "p50_us": p50, "p99_us": p99, "p99_without_log_us": p99_memory, "ratio": ratio,
         }));
     }
-    let single: Vec<f64> =
-        (0..rounds).map(|_| bare(folder.path(), group_bytes(1.0), span)).collect::<Result<_, _>>()?;
+    let single: Vec<f64> = (0..rounds)
+        .map(|_| bare(folder.path(), group_bytes(1.0), span, Duration::ZERO))
+        .collect::<Result<_, _>>()?;
     let single = median(single);
     let most = rows.last().and_then(|r| r["adds_per_s"].as_f64()).unwrap_or(0.0);
     println!(
@@ -265,15 +273,30 @@
         SIZES[SIZES.len() - 1],
         most / single
     );
+    let mut slow_rows = vec![];
+    let single_slow = bare(folder.path(), group_bytes(1.0), span, STRETCH)?;
+    println!("each sync {} us longer; one sync an add: {single_slow:.0} adds/s", STRETCH.as_micros());
+    for callers in SIZES {
+        let (rate, h, batch) = load(&executor, &slow, callers, span)?;
+        let loops = bare(folder.path(), group_bytes(batch), span, STRETCH)? * batch;
+        let (p99, ratio, times) = (h.value_at_quantile(0.99), rate / loops, rate / single_slow);
+        println!(
+            "{callers:>6}{rate:>12.0} adds/s, bare loop {loops:.0}, batch {batch:.1}, p99 {p99} us, ratio {ratio:.2}, {times:.1} times one sync an add"
+        );
+        slow_rows.push(json!({
+            "connections": callers, "adds_per_s": rate, "bare_loop_per_s": loops, "batch": batch,
+            "p99_us": p99, "ratio": ratio, "times_one_sync_an_add": times,
+        }));
+    }
     let mut logs = vec![];
     for adds in LOGS {
         let (took, bytes) = recovery(folder.path(), adds)?;
         println!("a log of {adds} adds: {bytes:.0} bytes an add, opened in {:.0} ms", took * 1e3);
         logs.push(json!({ "adds": adds, "bytes_an_add": bytes, "opened_ms": took * 1e3 }));
     }
-    drop((on_disk, no_log));
+    drop((on_disk, no_log, slow));
     Ok(json!({
         "rows": rows, "of_bare_loop": ratios, "one_sync_an_add_per_s": single,
-        "times_one_sync_an_add": most / single, "logs": logs,
+        "times_one_sync_an_add": most / single, "logs": logs, "slow": slow_rows,
     }))
 }
--- a/crates/rig/src/roles.rs
+++ b/crates/rig/src/roles.rs
@@ -28,6 +28,9 @@
         /// Write nothing.
         #[arg(long)]
         no_log: bool,
+        /// Each sync takes so many microseconds longer.
+        #[arg(long, default_value_t = 0)]
+        stretch_us: u64,
     },
     /// Be a stand-in claims node.
     #[command(hide = true)]
@@ -140,10 +143,10 @@
             end_with_parent();
             return frostgauge_gateway::daemon::run(config);
         }
-        Role::CounterDaemon { config, no_log } => {
+        Role::CounterDaemon { config, no_log, stretch_us } => {
             frostgauge_counter::log(true);
             end_with_parent();
-            return frostgauge_counter::daemon::run(config, *no_log);
+            return frostgauge_counter::daemon::run(config, *no_log, Duration::from_micros(*stretch_us));
         }
         _ => {}
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -827,8 +827,8 @@
         self.calls -= 1.0;
         c.calling = true;
         // What was used while the counter told nothing for longer than a burst takes to fill again was made
-        // up for meanwhile, at the even part of the rate. Guards against a counter that is back, is put right by
-        // the first who sees it, and then gets all that hundreds used: all at quota were refused for seconds.
+        // up for meanwhile, at the even part of the rate. Guards against a counter that is back, is put right
+        // by the first who sees it, and then gets all that hundreds used: all at quota were refused for long.
         let (plan, now_out) = (&c.terms, now > self.heard + OUTAGE);
         let (from, to) = if now_out { (self.heard, now) } else { self.outage };
         let out_s = seconds(to.saturating_sub(from.max(c.since)));
