--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -28,3 +28,42 @@
     assert_eq!(out.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&out.stderr).contains("127.0.0.1:9"));
 }
+
+#[test]
+fn the_counters_files_are_verified_dumped_replayed_and_shortened() {
+    use frostgauge_count::Op;
+    use frostgauge_counter::storage::Disk;
+    use frostgauge_counter::store::{Config, Store};
+    let folder = Folder::new(None).expect("a folder");
+    let data = folder.path().display().to_string();
+    let config = Config { segment: 1 << 20, names: 10, keep: false };
+    let (mut store, _) = Store::open(Disk::take(folder.path()).expect("free"), config).expect("empty");
+    store.commit(9, vec![Op::Open { gateway: 1, life: [1; 16] }]).expect("room");
+    for seq in 1..=3 {
+        let op =
+            Op::Add { gateway: 1, epoch: 9, seq, amount: 1_500_000, life_ms: 60_000, name: b"x".to_vec() };
+        store.commit(9, vec![op]).expect("room");
+    }
+    let said = |out: &Output| String::from_utf8_lossy(&out.stdout).into_owned();
+    let complained = |out: &Output| String::from_utf8_lossy(&out.stderr).into_owned();
+    // A running service's files can be looked at, not changed.
+    let out = frostgauge(&["counter", "verify", &data]);
+    assert!(out.status.success() && said(&out).contains("to 4"), "{}", said(&out));
+    let out = frostgauge(&["counter", "snapshot", &data]);
+    assert!(!out.status.success() && complained(&out).contains("in use by process"), "{}", complained(&out));
+    drop(store);
+    let out = frostgauge(&["counter", "dump", &data]);
+    assert_eq!(said(&out).lines().count(), 4);
+    assert!(said(&out).lines().last().expect("a line").contains(r#""total":4500000"#));
+    let out = frostgauge(&["counter", "replay", &data]);
+    assert!(said(&out).contains(r#""units":4.5"#), "{}", said(&out));
+    let out = frostgauge(&["counter", "snapshot", &data]);
+    assert!(out.status.success() && said(&out).contains("snapshot-00000000000000000004.fgs"));
+    let log = folder.path().join("log-00000000000000000001.fgl");
+    let mut bytes = std::fs::read(&log).expect("read");
+    bytes[100] ^= 4;
+    std::fs::write(&log, bytes).expect("written");
+    let out = frostgauge(&["counter", "verify", &data]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(complained(&out).contains("log-00000000000000000001.fgl at byte"), "{}", complained(&out));
+}
--- a/crates/counter/src/bin/frostgauge-counter.rs
+++ b/crates/counter/src/bin/frostgauge-counter.rs
@@ -14,11 +14,11 @@
     config: PathBuf,
     /// Log as JSON lines.
     #[arg(long)]
-    json: bool,
+    log_json: bool,
 }
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    frostgauge_counter::log(options.json);
+    frostgauge_counter::log(options.log_json);
     ExitCode::from(frostgauge_counter::daemon::run(&options.config, false, std::time::Duration::ZERO))
 }
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -203,3 +203,31 @@
         assert!(faults.iter().any(|f| f.starts_with(want)), "{want} not in {faults:#?}");
     }
 }
+
+#[test]
+fn the_counter_of_a_gateway() {
+    let folder = Folder::new("counter");
+    folder.secret("counter.key", 0o600);
+    let with = |counter: &str| {
+        let zones = format!("counter: {counter},\n  zones: ['a', 'b'],");
+        folder.faults(&[("zones: ['a', 'b'],", &zones)])
+    };
+    assert_eq!(with("{ address: '127.0.0.1:7400', key_file: 'counter.key' }"), [""; 0]);
+    let loaded = load(&folder.0.join("settings.jsonnet")).expect("good");
+    assert!(loaded.library.allow.counter && loaded.library.allow.count_limit == 80_000);
+    assert_eq!(loaded.counter_secret.as_ref().map(Secret::expose), Some(&b"sesame"[..]));
+    let faults =
+        with("{ address: '127.0.0.1:0', key_file: 'missing', limit_ms: 0, repeat_ms: 0 }").join("\n");
+    for want in [
+        "counter.address: has port 0",
+        "counter.limit_ms: is not between",
+        "counter.repeat_ms: is zero",
+        "counter.key_file: ",
+    ] {
+        assert!(faults.contains(want), "{want} not in {faults}");
+    }
+    folder.secret("open.key", 0o644);
+    let faults = with("{ address: '127.0.0.1:7400', key_file: 'open.key' }");
+    assert!(faults.len() == 1 && faults[0].contains("others may read it"), "{faults:?}");
+    assert!(with("{ adress: 1 }")[0].starts_with("counter"));
+}
