JSON-RPC 2.0 codec: lines, calls, batches, ids as they were written

Change: crates/proto/src/jsonrpc.rs, sans-io, with bounds on line, depth, batch and id; serde_json's raw values keep ids and numbers as text. No front speaks it yet.

--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod counter;
 pub mod http;
 pub mod introspection;
+pub mod jsonrpc;
 pub mod orca;
 pub mod peer;
 pub mod problem;
