--- a/crates/proto/tests/jsonrpc.rs
+++ b/crates/proto/tests/jsonrpc.rs
@@ -216,7 +216,10 @@
         let whole = format!("{line}\nrest");
         let first = &whole.as_bytes()[..cut.min(whole.len())];
         let seen = match line_end(first, 0, &LIMITS) {
-            Ok(Some(end)) => return Ok(prop_assert_eq!(end, line.len())),
+            Ok(Some(end)) => {
+                prop_assert_eq!(end, line.len());
+                return Ok(());
+            }
             _ => first.len(),
         };
         prop_assert_eq!(line_end(whole.as_bytes(), seen, &LIMITS), Ok(Some(line.len())));
