--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -173,6 +173,18 @@
     std::fs::rename(&part, path).map_err(fail)
 }
 
+/// Waits for a process that was told to end; its exit code, or none if it goes on.
+fn end_of(process: &mut Process) -> Option<i32> {
+    let end = Instant::now() + READY;
+    loop {
+        match process.ended() {
+            Some(code) => return Some(code),
+            None if Instant::now() > end => return None,
+            None => std::thread::sleep(Duration::from_millis(10)),
+        }
+    }
+}
+
 impl Fleet {
     /// Starts everything and waits until it is ready; `program` plays the roles, and `backplane` must be
     /// served by the caller.
@@ -577,14 +589,7 @@
         };
         let Some(mut process) = process else { return };
         process.signal(Signal::TERM);
-        let end = Instant::now() + READY;
-        let code = loop {
-            match process.ended() {
-                Some(code) => break Some(code),
-                None if Instant::now() > end => break None,
-                None => std::thread::sleep(Duration::from_millis(10)),
-            }
-        };
+        let code = end_of(&mut process);
         if code != Some(0) {
             let code = code.map_or("still running".to_owned(), |c| format!("exit code {c}"));
             self.state().facts.unclean.push(format!("gateway-{k}: {code}"));
@@ -711,14 +716,7 @@
         let Some(mut process) = self.state().counter.take() else { return };
         process.signal(Signal::CONT);
         process.signal(Signal::TERM);
-        let end = Instant::now() + READY;
-        let code = loop {
-            match process.ended() {
-                Some(code) => break Some(code),
-                None if Instant::now() > end => break None,
-                None => std::thread::sleep(Duration::from_millis(10)),
-            }
-        };
+        let code = end_of(&mut process);
         if code != Some(0) {
             self.state().facts.unclean.push(format!("counter: {code:?}"));
         }
