A gateway's counter status is built when asked for, not at each event

Need: the client's task built a JSON object at every frame and call. Change: it keeps a copy of the figures.

--- a/crates/counter/src/client.rs
+++ b/crates/counter/src/client.rs
@@ -3,7 +3,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
 use async_io::{Async, Timer};
-use frostgauge_count::{Calls, CallsConfig, Do, Micros, Told};
+use frostgauge_count::{Calls, CallsConfig, Do, Micros, Tally, Told};
 use frostgauge_net::{read_some, until, Pool, Timed};
 use frostgauge_proto::counter::{Code, Frame, Key, Nonce, Seal, Unseal};
 use futures_lite::{future, AsyncWriteExt};
@@ -60,14 +60,23 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     calls: Sender<(u64, f64, Micros)>,
-    seen: Arc<Mutex<Value>>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+/// How the calls stand, as last seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    up: bool,
+    epoch: u64,
+    out: usize,
+    tally: Tally,
 }
 
 impl Client {
     /// Starts the task that holds the connection.
     pub fn start(executor: &Arc<Executor<'static>>, config: Config, deliver: Deliver) -> Client {
         let (calls, inbox) = async_channel::bounded(INBOX);
-        let seen = Arc::new(Mutex::new(Value::Null));
+        let seen = Arc::new(Mutex::new(Seen::default()));
         let task = Driver {
             calls: Calls::new(config.calls, rand::random()),
             pool: Pool::new(1, PING).from(config.source),
@@ -91,7 +100,13 @@
 
     /// How it stands.
     pub fn status(&self) -> Value {
-        self.seen.lock().map_or(Value::Null, |seen| seen.clone())
+        let Ok(Seen { up, epoch, out, tally: t }) = self.seen.lock().map(|seen| *seen) else {
+            return Value::Null;
+        };
+        json!({
+            "up": up, "epoch": epoch, "out": out, "calls": t.calls, "totals": t.totals, "refused": t.refused,
+            "unsure": t.unsure, "repeats": t.repeats, "opened": t.opened,
+        })
     }
 }
 
@@ -141,7 +156,7 @@
     inbox: Receiver<(u64, f64, Micros)>,
     executor: Arc<Executor<'static>>,
     deliver: Deliver,
-    seen: Arc<Mutex<Value>>,
+    seen: Arc<Mutex<Seen>>,
     config: Config,
 }
 
@@ -262,12 +277,8 @@
                 return;
             }
             if let Ok(mut seen) = self.seen.lock() {
-                let t = self.calls.tally();
-                *seen = json!({
-                    "up": self.calls.up(), "epoch": self.calls.epoch(), "out": self.calls.out(),
-                    "calls": t.calls, "totals": t.totals, "refused": t.refused, "unsure": t.unsure,
-                    "repeats": t.repeats, "opened": t.opened,
-                });
+                let c = &self.calls;
+                *seen = Seen { up: c.up(), epoch: c.epoch(), out: c.out(), tally: c.tally() };
             }
         }
     }
