--- /dev/null
+++ b/crates/frostgauged/src/main.rs
@@ -0,0 +1,30 @@
+//! The daemon's program.
+
+use clap::Parser;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Holds insurers to their quotas before shared claims nodes.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    /// The settings, a Jsonnet file.
+    #[arg(long, required_unless_present = "platform")]
+    config: Option<PathBuf>,
+    /// Serve on the platform: what to do comes from the variables NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and
+    /// NODE_CONFIG.
+    #[arg(long, conflicts_with = "config")]
+    platform: bool,
+    /// Log as JSON lines.
+    #[arg(long)]
+    log_json: bool,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    frostgauge_gateway::log::init(options.log_json);
+    ExitCode::from(match options.config {
+        Some(config) => frostgauge_gateway::daemon::run(&config),
+        None => frostgauge_node::daemon::run(|name| std::env::var(name).ok()),
+    })
+}
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,6 +1,6 @@
 //! For staff, on a local address: `/metrics`, `/status`, `/health`.
 
-use crate::engine::Handle;
+use crate::oauth::{Handle, Message, News};
 use async_executor::Executor;
 use async_io::Async;
 use frostgauge_net::{pages, Closing, Page};
@@ -60,7 +60,7 @@
         _ => return None,
     };
     let (reply, answer) = async_channel::bounded(1);
-    handle.send(crate::engine::Message::Drain { zone: zone.to_owned(), drained, reply }).await;
+    handle.send(Message::News(News::Drain { zone: zone.to_owned(), drained, reply })).await;
     answer.recv().await.ok()
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -47,6 +47,13 @@
 pub enum Input {
     /// A request is whole.
     Call(Ask),
+    /// A request is whole, and its caller is known with it: no token is judged.
+    Known {
+        /// The request.
+        ask: Ask,
+        /// Whose it is.
+        caller: Insurer,
+    },
     /// Its client left.
     Left {
         /// Which.
@@ -240,6 +247,8 @@
     timers: Timers,
     open: BTreeMap<u64, Open>,
     insurers: Arc<BTreeMap<String, Insurer>>,
+    /// The grant of those who need none.
+    nobody: Arc<Grant>,
     counts: Counts,
     margin: Micros,
     most_open: usize,
@@ -273,20 +282,50 @@
     /// # Errors
     /// Settings that the library does not take.
     pub fn new(loaded: &Loaded, seed: u64, now: Micros) -> Result<Core, frostgauge::SettingsError> {
-        let mut core = Core {
-            library: Gateway::with_gate(loaded.library.clone(), seed, now, ZoneGate::new(loaded, now))?,
-            identity: Identity::new(identity_config(loaded), seed),
+        let identity = Identity::new(identity_config(loaded), seed);
+        let library = Gateway::with_gate(loaded.library.clone(), seed, now, ZoneGate::new(loaded, now))?;
+        let mut core = Core::of(library, identity, 0);
+        core.configure(now, loaded, &mut Vec::new());
+        Ok(core)
+    }
+
+    /// A core for callers who need no verdict, with every zone open; at most so many requests at once.
+    ///
+    /// # Errors
+    /// Settings that the library does not take.
+    pub fn without_tokens(
+        library: frostgauge::Settings,
+        most_open: usize,
+        seed: u64,
+        now: Micros,
+    ) -> Result<Core, frostgauge::SettingsError> {
+        let off = frostgauge_identity::Config {
+            fresh: 0,
+            stale: 0,
+            negative: 0,
+            timeout: 0,
+            flights: 0,
+            waiters: 0,
+            entries: 0,
+        };
+        let library = Gateway::with_gate(library, seed, now, ZoneGate::default())?;
+        Ok(Core::of(library, Identity::new(off, seed), most_open))
+    }
+
+    fn of(library: Gateway<ZoneGate>, identity: Identity, most_open: usize) -> Core {
+        Core {
+            library,
+            identity,
             timers: Timers::default(),
             open: BTreeMap::new(),
             insurers: Arc::default(),
+            nobody: Arc::default(),
             counts: Counts::default(),
             margin: 0,
-            most_open: 0,
+            most_open,
             actions: Vec::new(),
             steps: Vec::new(),
-        };
-        core.configure(now, loaded, &mut Vec::new());
-        Ok(core)
+        }
     }
 
     /// Takes settings that [`Loaded::needs_restart`] lets in while it runs.
@@ -305,6 +344,11 @@
         self.tell_zones(out);
     }
 
+    /// Takes news of nodes: a whole list, or changes to the one held.
+    pub fn listed(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Command>) {
+        self.decide(now, Event::Servers { kind, entries }, out);
+    }
+
     /// Counts so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -341,6 +385,7 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
         match input {
             Input::Call(ask) => self.call(now, ask, out),
+            Input::Known { ask, caller } => self.known(now, ask, caller, out),
             Input::Left { ticket } => self.left(now, ticket, out),
             Input::Introspected { flight, answer } => {
                 let mut steps = std::mem::take(&mut self.steps);
@@ -404,8 +449,25 @@
     }
 
     fn call(&mut self, now: Micros, ask: Ask, out: &mut Vec<Command>) {
-        self.counts.taken += 1;
         let (ticket, token) = (ask.ticket, ask.token);
+        let Some(patience) = self.take(now, ask, out) else { return };
+        let mut steps = std::mem::take(&mut self.steps);
+        self.identity.enter(now, ticket, token, patience, &mut steps);
+        self.carry_out(now, steps, out);
+    }
+
+    /// A request whose caller needs no verdict enters where one would have brought it.
+    fn known(&mut self, now: Micros, ask: Ask, caller: Insurer, out: &mut Vec<Command>) {
+        let ticket = ask.ticket;
+        if self.take(now, ask, out).is_some() {
+            self.submit(now, ticket, self.nobody.clone(), caller, out);
+        }
+    }
+
+    /// Notes a request as open; the patience left, or `None` where it is answered at once.
+    fn take(&mut self, now: Micros, ask: Ask, out: &mut Vec<Command>) -> Option<Micros> {
+        self.counts.taken += 1;
+        let ticket = ask.ticket;
         // What it waited for its turn here, and the way back, come off its client's patience.
         let gone = now.saturating_sub(ask.arrived) + self.margin;
         let patience = ask.patience.saturating_sub(gone);
@@ -413,11 +475,10 @@
         self.open.insert(ticket, Open { ask, stage: Stage::Checking, attempts: 0, last: None });
         if patience == 0 || full {
             let why = if full { Why::Pressed } else { Why::Late };
-            return self.answer(ticket, Final::Refused { why, retry_after: 0 }, out);
+            self.answer(ticket, Final::Refused { why, retry_after: 0 }, out);
+            return None;
         }
-        let mut steps = std::mem::take(&mut self.steps);
-        self.identity.enter(now, ticket, token, patience, &mut steps);
-        self.carry_out(now, steps, out);
+        Some(patience)
     }
 
     fn left(&mut self, now: Micros, ticket: u64, out: &mut Vec<Command>) {
@@ -471,16 +532,30 @@
         let Some(insurer) = self.insurers.get(&grant.subject).copied() else {
             return self.answer(ticket, Final::UnknownInsurer, out);
         };
+        self.submit(now, ticket, grant, insurer, out);
+    }
+
+    /// A request whose caller is known goes to the library.
+    fn submit(
+        &mut self,
+        now: Micros,
+        ticket: u64,
+        grant: Arc<Grant>,
+        caller: Insurer,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let ask = &open.ask;
         let gone = now.saturating_sub(ask.arrived) + self.margin;
         let event = Event::Request {
             id: RequestId(ticket),
             class: ask.class,
-            plan: insurer.plan,
-            customer: insurer.id,
+            plan: caller.plan,
+            customer: caller.id,
             patience: ask.patience.saturating_sub(gone),
             units: ask.units,
-            spread: insurer.spread,
-            first: insurer.first,
+            spread: caller.spread,
+            first: caller.first,
             repeat: ask.repeat,
         };
         open.stage = Stage::Entered(grant);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,8 +2,8 @@
 
 use crate::admin;
 use crate::clock::Clock;
-use crate::engine::{Engine, Handle, Message};
 use crate::front::http;
+use crate::oauth::{self, Handle, Message, News};
 use crate::peers::Peers;
 use async_executor::Executor;
 use async_io::{Async, Timer};
@@ -82,9 +82,8 @@
         .map_err(|e| format!("cannot start a thread: {e}"))?;
     let (talker, listener) = peers.map_or((None, None), |(p, l)| (Some(p), Some(l)));
     let connections = loaded.file.limits.connections;
-    let engine =
-        Engine::new(loaded, rand::random(), clock, executor.clone(), talker).map_err(|e| e.to_string())?;
-    let handle = engine.handle();
+    let (engine, handle) =
+        oauth::engine(loaded, rand::random(), clock, executor.clone(), talker).map_err(|e| e.to_string())?;
     let decisions = std::thread::Builder::new()
         .name("decisions".into())
         .spawn(move || future::block_on(engine.run()))
@@ -145,7 +144,7 @@
         Ok(Ok(loaded)) => {
             let faults = loaded.needs_restart(&handle.loaded());
             if faults.is_empty() {
-                handle.send(Message::Reload(Arc::new(loaded))).await;
+                handle.send(Message::News(News::Reload(Arc::new(loaded)))).await;
                 metrics::counter!("frostgauge_reloads", "ok" => "yes").increment(1);
                 return;
             }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,46 +1,89 @@
-//! The one task that owns the core: messages in from sockets, commands out to them.
+//! The one task that owns the core: messages in from sockets, commands out to them. What lies around it, other
+//! than requests and their attempts, is an [`Outside`]: with tokens and a settings file ([`crate::oauth`]), or on
+//! the platform.
 
 use crate::clock::{Clock, Micros};
-use crate::core::{Ask, Command, Core, Input};
+use crate::core::{Command, Core, Input};
 use crate::log::Throttle;
 use crate::observe::Observed;
-use crate::peers::Peers;
 use crate::reply::Final;
-use crate::upstream::{self, Ended, Forward};
+use crate::upstream::Ended;
 use async_channel::{Receiver, Sender};
-use async_executor::{Executor, Task};
-use frostgauge::{CounterId, ServerId, Status};
-use frostgauge_counter::client::{self, Answered, Client};
-use frostgauge_identity::{Answer, Grant, TokenName};
-use frostgauge_net::{exchange, until, End, Pool, Response, Timed};
-use frostgauge_proto::bearer::Token;
-use frostgauge_proto::http::{write_request, Body, Limits};
-use frostgauge_proto::introspection;
-use frostgauge_settings::Loaded;
-use serde_json::{json, Value};
+use async_executor::Task;
+use frostgauge::{ServerId, Status};
+use frostgauge_net::{until, Response, Timed};
 use std::collections::BTreeMap;
-use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
 
 /// Messages that may wait for the engine; a front that finds it full waits, and so do its clients.
 const INBOX: usize = 16 << 10;
 /// Messages taken in one batch, before timers are looked at.
 const BATCH: usize = 512;
-/// How often tokens that nobody waits for are forgotten.
-const SWEEP: Micros = 100_000;
+
+/// What lies around an engine: who its callers are, how requests are passed on, and what else happens there.
+pub trait Outside: Sized + Send + 'static {
+    /// Who calls, and what for.
+    type Caller: std::fmt::Debug + Send;
+    /// What is needed to pass a request on.
+    type Forward: std::fmt::Debug + Send;
+    /// What may happen here beside requests.
+    type News: std::fmt::Debug + Send;
+    /// What fronts share with the engine.
+    type Shared: Clone + std::fmt::Debug + Send + Sync;
+
+    /// How a call enters the core; `None` drops it.
+    fn enter(&mut self, call: &Call<Self>) -> Option<Input>;
+    /// Takes news.
+    fn news(&mut self, now: Micros, news: Self::News, inside: Inside<'_>, out: &mut Vec<Command>);
+    /// Starts an attempt; its task hands in [`Message::Ended`] exactly once, and dropping it ends the attempt.
+    fn start(&mut self, attempt: Attempt, call: Option<&Call<Self>>) -> Task<()>;
+    /// An attempt ended.
+    fn over(&mut self, _server: ServerId) {}
+    /// Carries out any other command; what has ended with it comes back at once.
+    fn command(&mut self, now: Micros, command: Command) -> Option<Input>;
+    /// Comes after each batch.
+    fn rest(&mut self, _now: Micros, _inside: Inside<'_>) {}
+}
+
+/// An attempt to be started.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The request.
+    pub ticket: u64,
+    /// Its attempt.
+    pub attempt: u32,
+    /// Where to.
+    pub server: ServerId,
+    /// Its time-out.
+    pub timeout: Micros,
+    /// Whose request it is.
+    pub grant: Arc<frostgauge_identity::Grant>,
+}
+
+/// What an outside may see and use of its engine.
+pub struct Inside<'a> {
+    /// The decisions.
+    pub core: &'a mut Core,
+    /// Answers so far.
+    pub observed: &'a Observed,
+    /// Attempts out.
+    pub attempts: usize,
+    /// Messages waiting.
+    pub inbox: usize,
+    /// When the engine started.
+    pub started: Micros,
+    /// Longest batch so far, µs: how long a message may have waited for its turn.
+    pub longest: Micros,
+}
 
 /// A request, as a front hands it in.
 #[derive(Debug)]
-pub struct Call {
+pub struct Call<O: Outside> {
     /// Its number, from [`Handle::ticket`].
     pub ticket: u64,
-    /// Its token.
-    pub token: Token,
-    /// Index of its route.
-    pub route: usize,
+    /// Who calls.
+    pub caller: O::Caller,
     /// When it was whole.
     pub arrived: Micros,
     /// How long its client waits.
@@ -48,7 +91,7 @@
     /// Its client marked it as a repeat.
     pub repeat: bool,
     /// What to pass on.
-    pub forward: Forward,
+    pub forward: O::Forward,
     /// Where its one reply goes; room for one.
     pub reply: Sender<Reply>,
 }
@@ -64,9 +107,9 @@
 
 /// What comes in.
 #[derive(Debug)]
-pub enum Message {
+pub enum Message<O: Outside> {
     /// A call.
-    Call(Box<Call>),
+    Call(Box<Call<O>>),
     /// A call's client left.
     Left(u64),
     /// An attempt ended.
@@ -78,13 +121,6 @@
         /// How.
         ended: Ended,
     },
-    /// A question about a token ended.
-    Introspected {
-        /// Which.
-        flight: u64,
-        /// Its answer, or none.
-        answer: Option<Answer>,
-    },
     /// A probe ended.
     Probed {
         /// The node.
@@ -92,26 +128,6 @@
         /// How.
         ended: Ended,
     },
-    /// A check of a node ended.
-    Checked {
-        /// The node.
-        server: ServerId,
-        /// How.
-        status: Status,
-        /// Time since it was sent.
-        took: Micros,
-    },
-    /// Staff take a zone out of use, or give it back; whether it is known is told.
-    Drain {
-        /// Its name.
-        zone: String,
-        /// Out of use.
-        drained: bool,
-        /// Where to tell.
-        reply: Sender<bool>,
-    },
-    /// A call of the counter ended.
-    Counted(Answered),
     /// A message of another gateway.
     Peer {
         /// Its number.
@@ -119,59 +135,61 @@
         /// The message.
         data: Vec<u8>,
     },
-    /// New settings, already checked against the old ones.
-    Reload(Arc<Loaded>),
-    /// Someone wants to know how things stand.
-    Status(Sender<Value>),
+    /// News that only the outside knows what to do with.
+    News(O::News),
     /// Nothing more comes; the engine ends.
     Stop,
 }
 
 /// What a front needs of the engine.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    inbox: Sender<Message>,
+#[derive(Debug)]
+pub struct Handle<O: Outside> {
+    inbox: Sender<Message<O>>,
     tickets: Arc<AtomicU64>,
-    loaded: Arc<RwLock<Arc<Loaded>>>,
+    /// What the outside shares with fronts.
+    pub shared: O::Shared,
     /// The clock that the engine goes by.
     pub clock: Clock,
 }
 
-impl Handle {
+impl<O: Outside> Clone for Handle<O> {
+    fn clone(&self) -> Self {
+        Handle {
+            inbox: self.inbox.clone(),
+            tickets: self.tickets.clone(),
+            shared: self.shared.clone(),
+            clock: self.clock,
+        }
+    }
+}
+
+impl<O: Outside> Handle<O> {
+    /// A handle, and what an engine takes messages from.
+    pub fn new(clock: Clock, shared: O::Shared) -> (Handle<O>, Receiver<Message<O>>) {
+        let (inbox, messages) = async_channel::bounded(INBOX);
+        // Numbers of one process are told apart from those of its earlier lives by the start time.
+        (Handle { inbox, tickets: Arc::new(AtomicU64::new(1)), shared, clock }, messages)
+    }
+
     /// A number for the next call.
     pub fn ticket(&self) -> u64 {
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Where messages go, for tasks that send many.
-    pub fn inbox(&self) -> Sender<Message> {
+    pub fn inbox(&self) -> Sender<Message<O>> {
         self.inbox.clone()
     }
 
-    /// The settings as they are now.
-    pub fn loaded(&self) -> Arc<Loaded> {
-        match self.loaded.read() {
-            Ok(loaded) => loaded.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        }
-    }
-
     /// Hands in a message; false once the engine has ended.
-    pub async fn send(&self, message: Message) -> bool {
+    pub async fn send(&self, message: Message<O>) -> bool {
         self.inbox.send(message).await.is_ok()
     }
 
     /// Hands in a message without waiting; false if there is no room.
-    pub fn try_send(&self, message: Message) -> bool {
+    pub fn try_send(&self, message: Message<O>) -> bool {
         self.inbox.try_send(message).is_ok()
     }
-
-    /// How things stand, or `None` once the engine has ended.
-    pub async fn status(&self) -> Option<Value> {
-        let (reply, answer) = async_channel::bounded(1);
-        self.send(Message::Status(reply)).await;
-        answer.recv().await.ok()
-    }
 }
 
 struct Running {
@@ -181,112 +199,34 @@
 }
 
 /// The engine.
-pub struct Engine {
+pub struct Engine<O: Outside> {
     core: Core,
-    handle: Handle,
-    inbox: Receiver<Message>,
-    executor: Arc<Executor<'static>>,
-    pool: Arc<Pool>,
-    addresses: BTreeMap<ServerId, SocketAddr>,
-    peers: Option<Peers>,
-    counter: Option<Client>,
-    calls: BTreeMap<u64, Box<Call>>,
-    tokens: BTreeMap<TokenName, Token>,
+    clock: Clock,
+    inbox: Receiver<Message<O>>,
+    outside: O,
+    calls: BTreeMap<u64, Box<Call<O>>>,
     running: BTreeMap<(u64, u32), Running>,
-    key: [u8; 32],
     started: Micros,
-    swept: Micros,
     throttle: Throttle,
     observed: Observed,
-    reloads: u64,
-    /// Longest batch so far, µs: how long a message may have waited for its turn.
     longest: Micros,
 }
 
-impl Engine {
-    /// An engine that starts now; `executor` runs what waits for sockets.
-    ///
-    /// # Errors
-    /// Settings that the library does not take.
-    pub fn new(
-        loaded: Loaded,
-        seed: u64,
-        clock: Clock,
-        executor: Arc<Executor<'static>>,
-        peers: Option<Peers>,
-    ) -> Result<Engine, frostgauge::SettingsError> {
-        let now = clock.now();
-        let core = Core::new(&loaded, seed, now)?;
-        let (sender, inbox) = async_channel::bounded(INBOX);
-        let l = &loaded.file.limits;
-        let pool = Arc::new(
-            Pool::new(l.pool, Duration::from_millis(l.pool_idle_ms)).from(loaded.file.gateway.source),
-        );
-        let mut engine = Engine {
+impl<O: Outside> Engine<O> {
+    /// An engine that starts now.
+    pub fn new(core: Core, outside: O, clock: Clock, inbox: Receiver<Message<O>>) -> Engine<O> {
+        Engine {
             core,
-            handle: Handle {
-                inbox: sender,
-                // Numbers of one process are told apart from those of its earlier lives by the start time.
-                tickets: Arc::new(AtomicU64::new(1)),
-                loaded: Arc::new(RwLock::new(Arc::new(loaded))),
-                clock,
-            },
+            clock,
             inbox,
-            executor,
-            pool,
-            addresses: BTreeMap::new(),
-            peers,
-            counter: None,
+            outside,
             calls: BTreeMap::new(),
-            tokens: BTreeMap::new(),
             running: BTreeMap::new(),
-            key: rand::random(),
-            started: now,
-            swept: now,
+            started: clock.now(),
             throttle: Throttle::default(),
             observed: Observed::default(),
-            reloads: 0,
             longest: 0,
-        };
-        engine.learn_addresses();
-        engine.counter = engine.call_counter();
-        Ok(engine)
-    }
-
-    /// The counter's client, where there is a counter.
-    fn call_counter(&self) -> Option<Client> {
-        let loaded = self.handle.loaded();
-        let (call, secret) = loaded.file.counter.as_ref().zip(loaded.counter_secret.as_ref())?;
-        let ms = |ms: u64| ms * 1_000;
-        let config = client::Config {
-            address: call.address,
-            key: frostgauge_proto::counter::Key::derive(secret.expose()),
-            gateway: u16::try_from(loaded.file.gateway.number).unwrap_or(u16::MAX),
-            source: loaded.file.gateway.source,
-            calls: frostgauge_count::CallsConfig { limit: ms(call.limit_ms), repeat: ms(call.repeat_ms) },
-        };
-        let inbox = self.handle.inbox();
-        let deliver = move |answered| -> std::pin::Pin<Box<dyn Future<Output = bool> + Send>> {
-            let inbox = inbox.clone();
-            Box::pin(async move { inbox.send(Message::Counted(answered)).await.is_ok() })
-        };
-        Some(Client::start(&self.executor, config, Box::new(deliver)))
-    }
-
-    /// What fronts need.
-    pub fn handle(&self) -> Handle {
-        self.handle.clone()
-    }
-
-    fn learn_addresses(&mut self) {
-        let loaded = self.handle.loaded();
-        // Addresses of nodes gone stay known while attempts are out, and no longer: nodes come and go for years.
-        let out: std::collections::BTreeSet<ServerId> = self.running.values().map(|r| r.server).collect();
-        self.addresses.retain(|server, _| out.contains(server));
-        self.addresses.extend(loaded.nodes.iter().map(|n| (n.entry.server, n.address)));
-        let mut wanted: Vec<SocketAddr> = loaded.nodes.iter().map(|n| n.address).collect();
-        wanted.push(loaded.introspection().address);
-        self.pool.keep(&wanted);
+        }
     }
 
     /// Runs until [`Message::Stop`].
@@ -295,7 +235,7 @@
         let mut first = true;
         loop {
             let message = match self.core.next_wake().filter(|_| !first) {
-                Some(at) => match until(self.handle.clock.instant(at), self.inbox.recv()).await {
+                Some(at) => match until(self.clock.instant(at), self.inbox.recv()).await {
                     Timed::Done(message) => message.ok(),
                     Timed::Late => None,
                 },
@@ -303,7 +243,7 @@
                 None => self.inbox.recv().await.ok(),
             };
             first = false;
-            let began = self.handle.clock.now();
+            let began = self.clock.now();
             let mut next = message;
             // All that has happened goes in before the timers: after a stall, answers that came in time
             // count before the deadlines that passed meanwhile.
@@ -315,43 +255,39 @@
                 self.message(message, &mut commands);
                 self.carry_out(&mut commands);
             }
-            let now = self.handle.clock.now();
+            let now = self.clock.now();
             self.core.advance(now, &mut commands);
             self.carry_out(&mut commands);
-            self.sweep(now);
-            self.longest = self.longest.max(self.handle.clock.now().saturating_sub(began));
+            self.with_outside(|outside, inside| outside.rest(now, inside));
+            self.longest = self.longest.max(self.clock.now().saturating_sub(began));
         }
     }
 
-    fn message(&mut self, message: Message, out: &mut Vec<Command>) {
-        let now = self.handle.clock.now();
+    fn with_outside(&mut self, run: impl FnOnce(&mut O, Inside<'_>)) {
+        let inside = Inside {
+            core: &mut self.core,
+            observed: &self.observed,
+            attempts: self.running.len(),
+            inbox: self.inbox.len(),
+            started: self.started,
+            longest: self.longest,
+        };
+        run(&mut self.outside, inside);
+    }
+
+    fn message(&mut self, message: Message<O>, out: &mut Vec<Command>) {
+        let now = self.clock.now();
         match message {
             Message::Call(call) => {
-                let loaded = self.handle.loaded();
-                let Some(route) = loaded.routes.get(call.route) else { return };
-                let token = call.token.name(&self.key);
-                self.tokens.entry(token).or_insert_with(|| call.token.clone());
-                let ask = Ask {
-                    ticket: call.ticket,
-                    token,
-                    class: route.class,
-                    units: route.units,
-                    scope: route.scope.as_str().into(),
-                    arrived: call.arrived,
-                    patience: call.patience,
-                    repeat: call.repeat,
-                };
+                let Some(input) = self.outside.enter(&call) else { return };
                 self.calls.insert(call.ticket, call);
-                self.core.handle(now, Input::Call(ask), out);
+                self.core.handle(now, input, out);
             }
             Message::Left(ticket) => {
                 self.calls.remove(&ticket);
                 self.core.handle(now, Input::Left { ticket }, out);
             }
             Message::Ended { ticket, attempt, ended } => self.ended(now, ticket, attempt, ended, out),
-            Message::Introspected { flight, answer } => {
-                self.core.handle(now, Input::Introspected { flight, answer }, out);
-            }
             Message::Probed { server, ended } => {
                 let ok = if ended.status == Status::Ok { "yes" } else { "no" };
                 let told = if ended.load.is_some() { "yes" } else { "no" };
@@ -359,33 +295,10 @@
                 let input = Input::Probed { server, status: ended.status, load: ended.load };
                 self.core.handle(now, input, out);
             }
-            Message::Checked { server, status, took } => {
-                self.core.handle(now, Input::Checked { server, status, took }, out);
-            }
-            Message::Drain { zone, drained, reply } => {
-                let known = self.handle.loaded().file.zones.iter().position(|z| *z == zone);
-                let known = known.filter(|_| self.core.zones().is_some());
-                if let Some(zone) = known {
-                    self.core.handle(now, Input::Drain { zone: zone as u32, drained }, out);
-                }
-                let _ = reply.try_send(known.is_some());
-            }
-            Message::Counted(Answered { counter, total, unsure, took, .. }) => {
-                let counter = CounterId(counter);
-                self.core.handle(now, Input::Counted { counter, total, unsure, took }, out);
-            }
             Message::Peer { from, data } => self.core.handle(now, Input::Peer { from, data }, out),
-            Message::Reload(loaded) => {
-                match self.handle.loaded.write() {
-                    Ok(mut place) => *place = loaded.clone(),
-                    Err(poisoned) => *poisoned.into_inner() = loaded.clone(),
-                }
-                self.learn_addresses();
-                self.core.configure(now, &loaded, out);
-                self.reloads += 1;
-                tracing::info!(nodes = loaded.nodes.len(), insurers = loaded.insurers.len(), "reloaded");
+            Message::News(news) => {
+                self.with_outside(|outside, inside| outside.news(now, news, inside, out));
             }
-            Message::Status(reply) => drop(reply.try_send(self.status(now))),
             Message::Stop => {}
         }
     }
@@ -393,6 +306,7 @@
     /// An attempt's end; one that was called off has ended already.
     fn ended(&mut self, now: Micros, ticket: u64, attempt: u32, ended: Ended, out: &mut Vec<Command>) {
         let Some(run) = self.running.remove(&(ticket, attempt)) else { return };
+        self.outside.over(run.server);
         let Ended { status, response, used, load } = ended;
         let took = now.saturating_sub(run.sent);
         let input = Input::AttemptEnded { ticket, attempt, server: run.server, status, took, used, load };
@@ -412,60 +326,49 @@
         let mut ended = Vec::new();
         loop {
             for command in commands.drain(..) {
-                self.command(command, &mut ended);
+                ended.extend(match command {
+                    Command::Send { ticket, attempt, server, timeout, grant } => {
+                        let task = self.outside.start(
+                            Attempt { ticket, attempt, server, timeout, grant },
+                            self.calls.get(&ticket).map(|c| &**c),
+                        );
+                        metrics::counter!("frostgauge_attempts").increment(1);
+                        let sent = self.clock.now();
+                        self.running.insert((ticket, attempt), Running { sent, server, task });
+                        None
+                    }
+                    Command::Cancel { ticket, attempt } => self.cancel(ticket, attempt),
+                    Command::Answer { ticket, answer } => {
+                        self.answer(ticket, answer);
+                        None
+                    }
+                    // Taken out where the response is at hand.
+                    Command::Deliver { .. } => None,
+                    Command::Log(text) => {
+                        tracing::info!(text, "decisions");
+                        None
+                    }
+                    other => self.outside.command(self.clock.now(), other),
+                });
             }
             let Some(input) = ended.pop() else { return };
-            self.core.handle(self.handle.clock.now(), input, commands);
+            self.core.handle(self.clock.now(), input, commands);
         }
     }
 
-    /// Carries out a command; what has ended with it comes back at once.
-    fn command(&mut self, command: Command, ended: &mut Vec<Input>) {
-        match command {
-            Command::Send { ticket, attempt, server, timeout, grant } => {
-                self.start(ticket, attempt, server, timeout, &grant);
-            }
-            Command::Cancel { ticket, attempt } => {
-                // Dropping the task closes its connection.
-                if let Some(run) = self.running.remove(&(ticket, attempt)) {
-                    drop(run.task);
-                    let took = self.handle.clock.now().saturating_sub(run.sent);
-                    let (server, status, used, load) = (run.server, Status::Cancelled, None, None);
-                    ended.push(Input::AttemptEnded { ticket, attempt, server, status, took, used, load });
-                }
-            }
-            Command::Answer { ticket, answer } => self.answer(ticket, answer),
-            Command::Introspect { flight, token, timeout } => self.introspect(flight, token, timeout),
-            Command::Probe { server } => self.probe(server),
-            Command::Check { server } => self.check(server),
-            Command::Zone(change) => {
-                let loaded = self.handle.loaded();
-                let zone = loaded.file.zones.get(change.zone as usize).cloned().unwrap_or_default();
-                let phase = format!("{:?}", change.phase).to_lowercase();
-                metrics::counter!("frostgauge_zone_changes", "zone" => zone.clone(), "phase" => phase.clone())
-                    .increment(1);
-                tracing::warn!(zone, phase, why = change.why, "zone");
-            }
-            Command::Tell { to, data } => {
-                if let Some(peers) = &mut self.peers {
-                    peers.tell(to, &data);
-                }
-            }
-            Command::Count { counter, amount, ttl } => {
-                // No counter, or no room for the call: turned away, certainly not added.
-                if !self.counter.as_ref().is_some_and(|c| c.call(counter.0, amount, ttl)) {
-                    ended.push(Input::Counted { counter, total: None, unsure: false, took: 0 });
-                }
-            }
-            Command::Log(text) => tracing::info!(text, "decisions"),
-            // Taken out where the response is at hand.
-            Command::Deliver { .. } => {}
-        }
+    /// Stops waiting for an attempt: dropping its task closes its connection.
+    fn cancel(&mut self, ticket: u64, attempt: u32) -> Option<Input> {
+        let run = self.running.remove(&(ticket, attempt))?;
+        drop(run.task);
+        self.outside.over(run.server);
+        let took = self.clock.now().saturating_sub(run.sent);
+        let (server, status, used, load) = (run.server, Status::Cancelled, None, None);
+        Some(Input::AttemptEnded { ticket, attempt, server, status, took, used, load })
     }
 
     fn answer(&mut self, ticket: u64, answer: Final) {
         let Some(call) = self.calls.remove(&ticket) else { return };
-        let now = self.handle.clock.now();
+        let now = self.clock.now();
         let (kind, reason) = (kind(&answer), answer.reason());
         self.observed.answer(kind, reason, now.saturating_sub(call.arrived));
         if let Some(more) = self.throttle.pass(now, reason) {
@@ -473,177 +376,6 @@
         }
         let _ = call.reply.try_send(Reply::Own(answer));
     }
-
-    fn start(&mut self, ticket: u64, attempt: u32, server: ServerId, timeout: Micros, grant: &Grant) {
-        let (now, instant) = (self.handle.clock.now(), Instant::now());
-        let inbox = self.handle.inbox.clone();
-        let loaded = self.handle.loaded();
-        let target = self.addresses.get(&server).copied().zip(self.calls.get(&ticket));
-        let Some((to, call)) = target else {
-            // Neither can be missing while the core sends; if one were, nothing has run.
-            let ended = Ended { status: Status::Moot, response: None, used: None, load: None };
-            let task = self.executor.spawn(async move {
-                let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
-            });
-            self.running.insert((ticket, attempt), Running { sent: now, server, task });
-            return;
-        };
-        let number = format!("{}-{:x}-{ticket}", loaded.file.gateway.number, self.started);
-        let bytes = call.forward.bytes(to, &grant.subject, &number, attempt, rand::random());
-        let to_head = call.forward.head.method() == "HEAD";
-        let pool = self.pool.clone();
-        let task = self.executor.spawn(async move {
-            let l = &loaded.file.limits;
-            let limits =
-                Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: l.answer_bytes };
-            let connect = Duration::from_millis(l.connect_ms);
-            let deadline = instant + Duration::from_micros(timeout);
-            let ended = upstream::attempt(&pool, to, &bytes, to_head, &limits, connect, deadline).await;
-            let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
-        });
-        metrics::counter!("frostgauge_attempts").increment(1);
-        self.running.insert((ticket, attempt), Running { sent: now, server, task });
-    }
-
-    fn introspect(&mut self, flight: u64, token: TokenName, timeout: Micros) {
-        let inbox = self.handle.inbox.clone();
-        let loaded = self.handle.loaded();
-        let Some(token) = self.tokens.get(&token).cloned() else {
-            self.executor
-                .spawn(async move {
-                    let _ = inbox.send(Message::Introspected { flight, answer: None }).await;
-                })
-                .detach();
-            return;
-        };
-        let (pool, clock) = (self.pool.clone(), self.handle.clock);
-        let deadline = Instant::now() + Duration::from_micros(timeout);
-        self.executor
-            .spawn(async move {
-                let answer = ask(&loaded, &pool, &token, clock, deadline).await;
-                let _ = inbox.send(Message::Introspected { flight, answer }).await;
-            })
-            .detach();
-    }
-
-    fn probe(&mut self, server: ServerId) {
-        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox.clone(), self.pool.clone());
-        let Some(to) = self.addresses.get(&server).copied() else { return };
-        self.executor
-            .spawn(async move {
-                let l = &loaded.file.limits;
-                let limits =
-                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
-                let patience = Duration::from_millis(l.connect_ms);
-                let path = l.probe_path.as_deref().unwrap_or("/");
-                let ended = upstream::probe(&pool, to, path, &limits, patience).await;
-                let _ = inbox.send(Message::Probed { server, ended }).await;
-            })
-            .detach();
-    }
-
-    fn check(&mut self, server: ServerId) {
-        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox.clone(), self.pool.clone());
-        let Some(to) = self.addresses.get(&server).copied() else { return };
-        let Some(path) = loaded.file.zone_policy.as_ref().map(|p| p.check_path.clone()) else { return };
-        self.executor
-            .spawn(async move {
-                let l = &loaded.file.limits;
-                let limits =
-                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
-                let began = Instant::now();
-                let patience = Duration::from_millis(l.connect_ms);
-                let status = upstream::probe(&pool, to, &path, &limits, patience).await.status;
-                let took = crate::clock::micros(began.elapsed());
-                let _ = inbox.send(Message::Checked { server, status, took }).await;
-            })
-            .detach();
-    }
-
-    /// Forgets tokens whose verdict nobody waits for: only their names stay.
-    fn sweep(&mut self, now: Micros) {
-        if now < self.swept + SWEEP {
-            return;
-        }
-        self.swept = now;
-        let identity = self.core.identity();
-        self.observed.publish();
-        self.publish_zones(now);
-        self.tokens.retain(|name, _| identity.waits_for(name));
-        let (waiting, flights, verdicts) = identity.sizes();
-        for (what, value) in [
-            ("open", self.core.open()),
-            ("attempts", self.running.len()),
-            ("waiting", waiting),
-            ("flights", flights),
-            ("verdicts", verdicts),
-            ("idle_connections", self.pool.len()),
-            ("inbox", self.inbox.len()),
-        ] {
-            metrics::gauge!("frostgauge_now", "what" => what).set(value as f64);
-        }
-    }
-
-    fn publish_zones(&self, now: Micros) {
-        let (Some(zones), loaded) = (self.core.zones(), self.handle.loaded()) else { return };
-        for (k, name) in loaded.file.zones.iter().enumerate() {
-            let Some(s) = zones.standing(now, k as u32) else { continue };
-            for (what, value) in [
-                ("open", s.open),
-                ("health", s.health),
-                ("spilled", s.spilled as f64),
-                ("short", s.short as f64),
-                ("spill_per_s", s.spill_part.unwrap_or(f64::NAN)),
-            ] {
-                metrics::gauge!("frostgauge_zone", "zone" => name.clone(), "what" => what).set(value);
-            }
-        }
-    }
-
-    fn zone_rows(&self, now: Micros, loaded: &Loaded) -> Vec<Value> {
-        let Some(zones) = self.core.zones() else { return vec![] };
-        let rows = loaded.file.zones.iter().enumerate().filter_map(|(k, name)| {
-            let s = zones.standing(now, k as u32)?;
-            Some(json!({
-                "zone": name, "phase": format!("{:?}", s.phase).to_lowercase(),
-                "for_s": now.saturating_sub(s.since) as f64 / 1e6, "open": s.open, "health": s.health,
-                "tier": s.tier, "spill_per_s": s.spill_part, "spilled": s.spilled, "short": s.short,
-            }))
-        });
-        rows.collect()
-    }
-
-    fn status(&self, now: Micros) -> Value {
-        let (counts, identity, loaded) = (self.core.counts(), self.core.identity(), self.handle.loaded());
-        let (waiting, flights, verdicts) = identity.sizes();
-        let tally = identity.tally();
-        json!({
-            "gateway": loaded.file.gateway.number,
-            "pid": std::process::id(),
-            "up_s": now.saturating_sub(self.started) as f64 / 1e6,
-            "reloads": self.reloads,
-            "open": self.core.open(),
-            "attempts": self.running.len(),
-            "inbox": self.inbox.len(),
-            "longest_batch_ms": self.longest as f64 / 1e3,
-            "answers": {
-                "taken": counts.taken, "served": counts.served, "refused": counts.refused,
-                "failed": counts.failed, "denied": counts.denied, "left": counts.left,
-            },
-            "reasons": self.observed.reasons(),
-            "latency_ms": self.observed.latencies(),
-            "tokens": {
-                "server": identity.state(now), "waiting": waiting, "flights": flights, "verdicts": verdicts,
-                "asked": tally.asked, "failed": tally.failed, "hits": tally.hits, "stale": tally.stale,
-                "unavailable": tally.unavailable,
-            },
-            "counter": self.counter.as_ref().map(Client::status),
-            "zones": self.zone_rows(now, &loaded),
-            "nodes": loaded.file.nodes.iter().map(|n| json!({
-                "address": n.address.to_string(), "zone": n.zone, "state": format!("{:?}", n.state).to_lowercase(),
-            })).collect::<Vec<_>>(),
-        })
-    }
 }
 
 fn kind(answer: &Final) -> &'static str {
@@ -653,42 +385,3 @@
         Final::Failed(_) => "failed",
     }
 }
-
-/// Asks the introspection server about a token.
-async fn ask(loaded: &Loaded, pool: &Pool, token: &Token, clock: Clock, deadline: Instant) -> Option<Answer> {
-    let (i, l) = (loaded.introspection(), &loaded.file.limits);
-    let basic = introspection::client_basic(&i.client_id, loaded.client_secret.expose_text()?);
-    let form = introspection::form(token);
-    let mut request = Vec::new();
-    let fields: [(&str, &[u8]); 4] = [
-        ("host", i.host.as_bytes()),
-        ("authorization", basic.as_bytes()),
-        ("content-type", b"application/x-www-form-urlencoded"),
-        ("accept", b"application/json"),
-    ];
-    write_request(&mut request, "POST", &i.path, fields.into_iter(), Body::Whole(form.as_bytes()));
-    let limits = Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
-    let connect = Duration::from_millis(l.connect_ms);
-    let end = exchange(pool, i.address, &request, false, &limits, connect, deadline).await;
-    let End::Answered(response) = end else { return None };
-    // A 401 here is about this gateway's own secret, a 4xx or 5xx about the question: neither is a verdict.
-    if response.head.status() != 200 {
-        return None;
-    }
-    let answer = introspection::Answer::read(&response.body).ok()?;
-    Some(verdict(&answer, i, clock.now()))
-}
-
-/// What an answer means here (RFC 7662 section 4: the audience and times are the resource server's to check).
-fn verdict(answer: &introspection::Answer, i: &frostgauge_settings::Introspection, now: Micros) -> Answer {
-    let micros = |seconds: f64| (seconds.max(0.0) * 1e6) as Micros;
-    let ours = i.audience.as_ref().is_none_or(|a| answer.aud.is_empty() || answer.aud.contains(a));
-    let begun = answer.nbf.is_none_or(|nbf| micros(nbf) <= now);
-    match answer.member(&i.customer).filter(|_| answer.active && ours && begun) {
-        Some(subject) => Answer::Good {
-            grant: Grant { subject: subject.to_owned(), scopes: answer.scopes.clone() },
-            exp: answer.exp.map(micros),
-        },
-        None => Answer::Bad,
-    }
-}
--- a/crates/gateway/src/front/http.rs
+++ b/crates/gateway/src/front/http.rs
@@ -7,7 +7,8 @@
 
 use super::request::{parse, settings, Parsed};
 use super::response;
-use crate::engine::{Call, Handle, Message, Reply};
+use crate::engine::Reply;
+use crate::oauth::{Call, Caller, Handle, Message};
 use crate::reply::Own;
 use crate::upstream::Forward;
 use async_channel::{Receiver, Sender};
@@ -235,8 +236,7 @@
         let (reply, answer) = async_channel::bounded(1);
         let call = Call {
             ticket,
-            token: parsed.token,
-            route: parsed.route,
+            caller: Caller { token: parsed.token, route: parsed.route },
             arrived: self.handle.clock.now(),
             patience: parsed.patience,
             repeat: parsed.repeat,
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -1,7 +1,7 @@
 //! From a request to a call: route, token, patience.
 
 use crate::clock::Micros;
-use crate::engine::Handle;
+use crate::oauth::Handle;
 use crate::reply::{Final, Own};
 use frostgauge_proto::bearer::{token_of, Token};
 use frostgauge_proto::http::Head;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod front;
 pub mod log;
+pub mod oauth;
 pub mod observe;
 pub mod peers;
 pub mod reply;
--- /dev/null
+++ b/crates/gateway/src/oauth.rs
@@ -0,0 +1,495 @@
+//! The outside of a gateway that knows its callers by OAuth 2 tokens and its nodes by a settings file.
+
+use crate::clock::{Clock, Micros};
+use crate::core::{Ask, Command, Core, Input};
+use crate::engine::{self, Attempt, Inside, Outside};
+use crate::peers::Peers;
+use crate::upstream::{self, Ended, Forward};
+use async_channel::Sender;
+use async_executor::{Executor, Task};
+use frostgauge::{CounterId, ServerId, Status};
+use frostgauge_counter::client::{self, Answered, Client};
+use frostgauge_identity::{Answer, Grant, TokenName};
+use frostgauge_net::{exchange, End, Pool};
+use frostgauge_proto::bearer::Token;
+use frostgauge_proto::http::{write_request, Body, Limits};
+use frostgauge_proto::introspection;
+use frostgauge_settings::Loaded;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+/// How often tokens that nobody waits for are forgotten.
+const SWEEP: Micros = 100_000;
+
+/// The handle of such an engine.
+pub type Handle = engine::Handle<OAuth>;
+/// A message to such an engine.
+pub type Message = engine::Message<OAuth>;
+/// A call of such an engine.
+pub type Call = engine::Call<OAuth>;
+/// Such an engine.
+pub type Engine = engine::Engine<OAuth>;
+
+/// Who calls, and what for.
+#[derive(Debug)]
+pub struct Caller {
+    /// The request's token.
+    pub token: Token,
+    /// Index of its route.
+    pub route: usize,
+}
+
+/// What may happen beside requests.
+#[derive(Debug)]
+pub enum News {
+    /// A question about a token ended.
+    Introspected {
+        /// Which.
+        flight: u64,
+        /// Its answer, or none.
+        answer: Option<Answer>,
+    },
+    /// A check of a node ended.
+    Checked {
+        /// The node.
+        server: ServerId,
+        /// How.
+        status: Status,
+        /// Time since it was sent.
+        took: Micros,
+    },
+    /// Staff take a zone out of use, or give it back; whether it is known is told.
+    Drain {
+        /// Its name.
+        zone: String,
+        /// Out of use.
+        drained: bool,
+        /// Where to tell.
+        reply: Sender<bool>,
+    },
+    /// A call of the counter ended.
+    Counted(Answered),
+    /// New settings, already checked against the old ones.
+    Reload(Arc<Loaded>),
+    /// Someone wants to know how things stand.
+    Status(Sender<Value>),
+}
+
+/// The settings as they are now.
+pub type Shared = Arc<RwLock<Arc<Loaded>>>;
+
+impl Handle {
+    /// The settings as they are now.
+    pub fn loaded(&self) -> Arc<Loaded> {
+        match self.shared.read() {
+            Ok(loaded) => loaded.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+
+    /// How things stand, or `None` once the engine has ended.
+    pub async fn status(&self) -> Option<Value> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.send(Message::News(News::Status(reply))).await;
+        answer.recv().await.ok()
+    }
+}
+
+/// Sockets, tokens, counter and settings around an engine.
+pub struct OAuth {
+    handle: Handle,
+    executor: Arc<Executor<'static>>,
+    pool: Arc<Pool>,
+    addresses: BTreeMap<ServerId, SocketAddr>,
+    /// Attempts out, by node.
+    out: BTreeMap<ServerId, usize>,
+    peers: Option<Peers>,
+    counter: Option<Client>,
+    tokens: BTreeMap<TokenName, Token>,
+    key: [u8; 32],
+    started: Micros,
+    swept: Micros,
+    reloads: u64,
+}
+
+/// An engine that starts now, and its handle; `executor` runs what waits for sockets.
+///
+/// # Errors
+/// Settings that the library does not take.
+pub fn engine(
+    loaded: Loaded,
+    seed: u64,
+    clock: Clock,
+    executor: Arc<Executor<'static>>,
+    peers: Option<Peers>,
+) -> Result<(Engine, Handle), frostgauge::SettingsError> {
+    let now = clock.now();
+    let core = Core::new(&loaded, seed, now)?;
+    let l = &loaded.file.limits;
+    let pool =
+        Arc::new(Pool::new(l.pool, Duration::from_millis(l.pool_idle_ms)).from(loaded.file.gateway.source));
+    let (handle, inbox) = Handle::new(clock, Arc::new(RwLock::new(Arc::new(loaded))));
+    let mut outside = OAuth {
+        handle: handle.clone(),
+        executor,
+        pool,
+        addresses: BTreeMap::new(),
+        out: BTreeMap::new(),
+        peers,
+        counter: None,
+        tokens: BTreeMap::new(),
+        key: rand::random(),
+        started: now,
+        swept: now,
+        reloads: 0,
+    };
+    outside.learn_addresses();
+    outside.counter = outside.call_counter();
+    Ok((Engine::new(core, outside, clock, inbox), handle))
+}
+
+impl Outside for OAuth {
+    type Caller = Caller;
+    type Forward = Forward;
+    type News = News;
+    type Shared = Shared;
+
+    fn enter(&mut self, call: &Call) -> Option<Input> {
+        let loaded = self.handle.loaded();
+        let route = loaded.routes.get(call.caller.route)?;
+        let token = call.caller.token.name(&self.key);
+        self.tokens.entry(token).or_insert_with(|| call.caller.token.clone());
+        Some(Input::Call(Ask {
+            ticket: call.ticket,
+            token,
+            class: route.class,
+            units: route.units,
+            scope: route.scope.as_str().into(),
+            arrived: call.arrived,
+            patience: call.patience,
+            repeat: call.repeat,
+        }))
+    }
+
+    fn news(&mut self, now: Micros, news: News, inside: Inside<'_>, out: &mut Vec<Command>) {
+        match news {
+            News::Introspected { flight, answer } => {
+                inside.core.handle(now, Input::Introspected { flight, answer }, out);
+            }
+            News::Checked { server, status, took } => {
+                inside.core.handle(now, Input::Checked { server, status, took }, out);
+            }
+            News::Drain { zone, drained, reply } => {
+                let known = self.handle.loaded().file.zones.iter().position(|z| *z == zone);
+                let known = known.filter(|_| inside.core.zones().is_some());
+                if let Some(zone) = known {
+                    inside.core.handle(now, Input::Drain { zone: zone as u32, drained }, out);
+                }
+                let _ = reply.try_send(known.is_some());
+            }
+            News::Counted(Answered { counter, total, unsure, took, .. }) => {
+                let counter = CounterId(counter);
+                inside.core.handle(now, Input::Counted { counter, total, unsure, took }, out);
+            }
+            News::Reload(loaded) => {
+                match self.handle.shared.write() {
+                    Ok(mut place) => *place = loaded.clone(),
+                    Err(poisoned) => *poisoned.into_inner() = loaded.clone(),
+                }
+                self.learn_addresses();
+                inside.core.configure(now, &loaded, out);
+                self.reloads += 1;
+                tracing::info!(nodes = loaded.nodes.len(), insurers = loaded.insurers.len(), "reloaded");
+            }
+            News::Status(reply) => drop(reply.try_send(self.status(now, &inside))),
+        }
+    }
+
+    fn start(&mut self, attempt: Attempt, call: Option<&Call>) -> Task<()> {
+        let Attempt { ticket, attempt, server, timeout, grant } = attempt;
+        let instant = Instant::now();
+        *self.out.entry(server).or_default() += 1;
+        let inbox = self.handle.inbox();
+        let loaded = self.handle.loaded();
+        let target = self.addresses.get(&server).copied().zip(call);
+        let Some((to, call)) = target else {
+            // Neither can be missing while the core sends; if one were, nothing has run.
+            let ended = Ended { status: Status::Moot, response: None, used: None, load: None };
+            return self.executor.spawn(async move {
+                let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
+            });
+        };
+        let number = format!("{}-{:x}-{ticket}", loaded.file.gateway.number, self.started);
+        let bytes = call.forward.bytes(to, &grant.subject, &number, attempt, rand::random());
+        let to_head = call.forward.head.method() == "HEAD";
+        let pool = self.pool.clone();
+        self.executor.spawn(async move {
+            let l = &loaded.file.limits;
+            let limits =
+                Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: l.answer_bytes };
+            let connect = Duration::from_millis(l.connect_ms);
+            let deadline = instant + Duration::from_micros(timeout);
+            let ended = upstream::attempt(&pool, to, &bytes, to_head, &limits, connect, deadline).await;
+            let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
+        })
+    }
+
+    fn over(&mut self, server: ServerId) {
+        if let Some(out) = self.out.get_mut(&server) {
+            *out -= 1;
+            if *out == 0 {
+                self.out.remove(&server);
+            }
+        }
+    }
+
+    fn command(&mut self, _: Micros, command: Command) -> Option<Input> {
+        match command {
+            Command::Introspect { flight, token, timeout } => self.introspect(flight, token, timeout),
+            Command::Probe { server } => self.probe(server),
+            Command::Check { server } => self.check(server),
+            Command::Zone(change) => {
+                let loaded = self.handle.loaded();
+                let zone = loaded.file.zones.get(change.zone as usize).cloned().unwrap_or_default();
+                let phase = format!("{:?}", change.phase).to_lowercase();
+                metrics::counter!("frostgauge_zone_changes", "zone" => zone.clone(), "phase" => phase.clone())
+                    .increment(1);
+                tracing::warn!(zone, phase, why = change.why, "zone");
+            }
+            Command::Tell { to, data } => {
+                if let Some(peers) = &mut self.peers {
+                    peers.tell(to, &data);
+                }
+            }
+            Command::Count { counter, amount, ttl } => {
+                // No counter, or no room for the call: turned away, certainly not added.
+                if !self.counter.as_ref().is_some_and(|c| c.call(counter.0, amount, ttl)) {
+                    return Some(Input::Counted { counter, total: None, unsure: false, took: 0 });
+                }
+            }
+            // The engine's own.
+            Command::Send { .. }
+            | Command::Cancel { .. }
+            | Command::Deliver { .. }
+            | Command::Answer { .. }
+            | Command::Log(_) => {}
+        }
+        None
+    }
+
+    /// Forgets tokens whose verdict nobody waits for: only their names stay.
+    fn rest(&mut self, now: Micros, inside: Inside<'_>) {
+        if now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = now;
+        let identity = inside.core.identity();
+        inside.observed.publish();
+        self.publish_zones(now, inside.core);
+        self.tokens.retain(|name, _| identity.waits_for(name));
+        let (waiting, flights, verdicts) = identity.sizes();
+        for (what, value) in [
+            ("open", inside.core.open()),
+            ("attempts", inside.attempts),
+            ("waiting", waiting),
+            ("flights", flights),
+            ("verdicts", verdicts),
+            ("idle_connections", self.pool.len()),
+            ("inbox", inside.inbox),
+        ] {
+            metrics::gauge!("frostgauge_now", "what" => what).set(value as f64);
+        }
+    }
+}
+
+impl OAuth {
+    /// The counter's client, where there is a counter.
+    fn call_counter(&self) -> Option<Client> {
+        let loaded = self.handle.loaded();
+        let (call, secret) = loaded.file.counter.as_ref().zip(loaded.counter_secret.as_ref())?;
+        let ms = |ms: u64| ms * 1_000;
+        let config = client::Config {
+            address: call.address,
+            key: frostgauge_proto::counter::Key::derive(secret.expose()),
+            gateway: u16::try_from(loaded.file.gateway.number).unwrap_or(u16::MAX),
+            source: loaded.file.gateway.source,
+            calls: frostgauge_count::CallsConfig { limit: ms(call.limit_ms), repeat: ms(call.repeat_ms) },
+        };
+        let inbox = self.handle.inbox();
+        let deliver = move |answered| -> std::pin::Pin<Box<dyn Future<Output = bool> + Send>> {
+            let inbox = inbox.clone();
+            Box::pin(async move { inbox.send(Message::News(News::Counted(answered))).await.is_ok() })
+        };
+        Some(Client::start(&self.executor, config, Box::new(deliver)))
+    }
+
+    fn learn_addresses(&mut self) {
+        let loaded = self.handle.loaded();
+        // Addresses of nodes gone stay known while attempts are out, and no longer: nodes come and go for years.
+        let out = &self.out;
+        self.addresses.retain(|server, _| out.contains_key(server));
+        self.addresses.extend(loaded.nodes.iter().map(|n| (n.entry.server, n.address)));
+        let mut wanted: Vec<SocketAddr> = loaded.nodes.iter().map(|n| n.address).collect();
+        wanted.push(loaded.introspection().address);
+        self.pool.keep(&wanted);
+    }
+
+    fn introspect(&mut self, flight: u64, token: TokenName, timeout: Micros) {
+        let inbox = self.handle.inbox();
+        let loaded = self.handle.loaded();
+        let Some(token) = self.tokens.get(&token).cloned() else {
+            self.executor
+                .spawn(async move {
+                    let _ = inbox.send(Message::News(News::Introspected { flight, answer: None })).await;
+                })
+                .detach();
+            return;
+        };
+        let (pool, clock) = (self.pool.clone(), self.handle.clock);
+        let deadline = Instant::now() + Duration::from_micros(timeout);
+        self.executor
+            .spawn(async move {
+                let answer = ask(&loaded, &pool, &token, clock, deadline).await;
+                let _ = inbox.send(Message::News(News::Introspected { flight, answer })).await;
+            })
+            .detach();
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox(), self.pool.clone());
+        let Some(to) = self.addresses.get(&server).copied() else { return };
+        self.executor
+            .spawn(async move {
+                let l = &loaded.file.limits;
+                let limits =
+                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
+                let patience = Duration::from_millis(l.connect_ms);
+                let path = l.probe_path.as_deref().unwrap_or("/");
+                let ended = upstream::probe(&pool, to, path, &limits, patience).await;
+                let _ = inbox.send(Message::Probed { server, ended }).await;
+            })
+            .detach();
+    }
+
+    fn check(&mut self, server: ServerId) {
+        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox(), self.pool.clone());
+        let Some(to) = self.addresses.get(&server).copied() else { return };
+        let Some(path) = loaded.file.zone_policy.as_ref().map(|p| p.check_path.clone()) else { return };
+        self.executor
+            .spawn(async move {
+                let l = &loaded.file.limits;
+                let limits =
+                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
+                let began = Instant::now();
+                let patience = Duration::from_millis(l.connect_ms);
+                let status = upstream::probe(&pool, to, &path, &limits, patience).await.status;
+                let took = crate::clock::micros(began.elapsed());
+                let _ = inbox.send(Message::News(News::Checked { server, status, took })).await;
+            })
+            .detach();
+    }
+
+    fn publish_zones(&self, now: Micros, core: &Core) {
+        let (Some(zones), loaded) = (core.zones(), self.handle.loaded()) else { return };
+        for (k, name) in loaded.file.zones.iter().enumerate() {
+            let Some(s) = zones.standing(now, k as u32) else { continue };
+            for (what, value) in [
+                ("open", s.open),
+                ("health", s.health),
+                ("spilled", s.spilled as f64),
+                ("short", s.short as f64),
+                ("spill_per_s", s.spill_part.unwrap_or(f64::NAN)),
+            ] {
+                metrics::gauge!("frostgauge_zone", "zone" => name.clone(), "what" => what).set(value);
+            }
+        }
+    }
+
+    fn zone_rows(&self, now: Micros, core: &Core, loaded: &Loaded) -> Vec<Value> {
+        let Some(zones) = core.zones() else { return vec![] };
+        let rows = loaded.file.zones.iter().enumerate().filter_map(|(k, name)| {
+            let s = zones.standing(now, k as u32)?;
+            Some(json!({
+                "zone": name, "phase": format!("{:?}", s.phase).to_lowercase(),
+                "for_s": now.saturating_sub(s.since) as f64 / 1e6, "open": s.open, "health": s.health,
+                "tier": s.tier, "spill_per_s": s.spill_part, "spilled": s.spilled, "short": s.short,
+            }))
+        });
+        rows.collect()
+    }
+
+    fn status(&self, now: Micros, inside: &Inside<'_>) -> Value {
+        let (counts, identity, loaded) = (inside.core.counts(), inside.core.identity(), self.handle.loaded());
+        let (waiting, flights, verdicts) = identity.sizes();
+        let tally = identity.tally();
+        json!({
+            "gateway": loaded.file.gateway.number,
+            "pid": std::process::id(),
+            "up_s": now.saturating_sub(inside.started) as f64 / 1e6,
+            "reloads": self.reloads,
+            "open": inside.core.open(),
+            "attempts": inside.attempts,
+            "inbox": inside.inbox,
+            "longest_batch_ms": inside.longest as f64 / 1e3,
+            "answers": {
+                "taken": counts.taken, "served": counts.served, "refused": counts.refused,
+                "failed": counts.failed, "denied": counts.denied, "left": counts.left,
+            },
+            "reasons": inside.observed.reasons(),
+            "latency_ms": inside.observed.latencies(),
+            "tokens": {
+                "server": identity.state(now), "waiting": waiting, "flights": flights, "verdicts": verdicts,
+                "asked": tally.asked, "failed": tally.failed, "hits": tally.hits, "stale": tally.stale,
+                "unavailable": tally.unavailable,
+            },
+            "counter": self.counter.as_ref().map(Client::status),
+            "zones": self.zone_rows(now, inside.core, &loaded),
+            "nodes": loaded.file.nodes.iter().map(|n| json!({
+                "address": n.address.to_string(), "zone": n.zone, "state": format!("{:?}", n.state).to_lowercase(),
+            })).collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// Asks the introspection server about a token.
+async fn ask(loaded: &Loaded, pool: &Pool, token: &Token, clock: Clock, deadline: Instant) -> Option<Answer> {
+    let (i, l) = (loaded.introspection(), &loaded.file.limits);
+    let basic = introspection::client_basic(&i.client_id, loaded.client_secret.expose_text()?);
+    let form = introspection::form(token);
+    let mut request = Vec::new();
+    let fields: [(&str, &[u8]); 4] = [
+        ("host", i.host.as_bytes()),
+        ("authorization", basic.as_bytes()),
+        ("content-type", b"application/x-www-form-urlencoded"),
+        ("accept", b"application/json"),
+    ];
+    write_request(&mut request, "POST", &i.path, fields.into_iter(), Body::Whole(form.as_bytes()));
+    let limits = Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
+    let connect = Duration::from_millis(l.connect_ms);
+    let end = exchange(pool, i.address, &request, false, &limits, connect, deadline).await;
+    let End::Answered(response) = end else { return None };
+    // A 401 here is about this gateway's own secret, a 4xx or 5xx about the question: neither is a verdict.
+    if response.head.status() != 200 {
+        return None;
+    }
+    let answer = introspection::Answer::read(&response.body).ok()?;
+    Some(verdict(&answer, i, clock.now()))
+}
+
+/// What an answer means here (RFC 7662 section 4: the audience and times are the resource server's to check).
+fn verdict(answer: &introspection::Answer, i: &frostgauge_settings::Introspection, now: Micros) -> Answer {
+    let micros = |seconds: f64| (seconds.max(0.0) * 1e6) as Micros;
+    let ours = i.audience.as_ref().is_none_or(|a| answer.aud.is_empty() || answer.aud.contains(a));
+    let begun = answer.nbf.is_none_or(|nbf| micros(nbf) <= now);
+    match answer.member(&i.customer).filter(|_| answer.active && ours && begun) {
+        Some(subject) => Answer::Good {
+            grant: Grant { subject: subject.to_owned(), scopes: answer.scopes.clone() },
+            exp: answer.exp.map(micros),
+        },
+        None => Answer::Bad,
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between gateways over UDP.
 
 use crate::clock::{Clock, Micros};
-use crate::engine::Message;
+use crate::oauth::Message;
 use async_io::Async;
 use frostgauge_proto::peer::{Dropped, Key, Receiver, Sender};
 use frostgauge_settings::Loaded;
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -84,8 +84,11 @@
     }
 }
 
-/// Writes the request, counting bytes, and reads the response; and whether the connection may go on.
-async fn talk(
+/// Writes a request on a connection, counting bytes, and reads its response; and whether the connection may go on.
+///
+/// # Errors
+/// Those of the stream, and bytes that are no response.
+pub async fn talk(
     mut stream: &Async<TcpStream>,
     request: &[u8],
     to_head: bool,
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,301 @@
+//! Clients: one request at a time on a connection, answered before the next is read.
+
+use crate::budget::Taken;
+use crate::outside::{Call, Front, Handle};
+use crate::seats::Seat;
+use crate::upstream::Forward;
+use async_io::Async;
+use frostgauge_gateway::engine::{Message, Reply};
+use frostgauge_gateway::reply::Final;
+use frostgauge_net::{or_closing, read_some, until, Closing, Timed};
+use frostgauge_platform::request::{self, Bad};
+use frostgauge_proto::http::{
+    reason, write_response, Body, BodyReader, Framing, Head, HeadReader, HttpError, Limits,
+};
+use futures_lite::future::or;
+use futures_lite::AsyncWriteExt;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Bounds on a request: content as the protocol has it, heads with room to spare.
+const REQUEST: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
+/// A new connection has brought a whole request by then, or is closed: what can't be read is owed an end in 3 s.
+const FIRST: Duration = Duration::from_millis(2_200);
+/// A request that has begun on a kept connection is whole by then.
+const WHOLE: Duration = Duration::from_millis(2_200);
+/// A kept connection without a request is closed after this.
+const IDLE: Duration = Duration::from_secs(60);
+/// How long an idle connection is still read once the process closes: clients go on using those that stand.
+const CLOSING: Duration = Duration::from_millis(450);
+/// How long an answer may take to be written to a client that does not read.
+const WRITE: Duration = Duration::from_secs(2);
+/// How long, and how many bytes, a closed connection is still read, so that the client's last bytes do not make the
+/// kernel throw away an answer on its way.
+const LINGER: (Duration, usize) = (Duration::from_millis(200), 64 << 10);
+/// Bytes read ahead while an answer is awaited.
+const AHEAD: usize = 4 << 10;
+
+/// Why a connection ends.
+enum End {
+    /// The client left, or there is nothing to say.
+    Close,
+    /// What it sent is turned away, and nothing further is read.
+    Say(Bad),
+}
+
+impl From<HttpError> for End {
+    fn from(error: HttpError) -> End {
+        End::Say(Bad { status: error.status(), reason: "the request cannot be read" })
+    }
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    seat: Seat,
+    handle: Handle,
+    closing: Closing,
+    buf: Vec<u8>,
+    used: bool,
+    opened: Instant,
+}
+
+/// Serves a connection to its end.
+pub async fn serve(stream: Async<TcpStream>, seat: Seat, handle: Handle, closing: Closing) {
+    let mut connection =
+        Connection { stream, seat, handle, closing, buf: Vec::new(), used: false, opened: Instant::now() };
+    loop {
+        match connection.one().await {
+            Ok(true) => {}
+            Ok(false) => return connection.linger().await,
+            Err(End::Close) => return,
+            Err(End::Say(bad)) => {
+                tracing::debug!(status = bad.status, reason = bad.reason, "turned away");
+                let mut out = Vec::new();
+                own(&mut out, bad.status, None, true, bad.reason);
+                if connection.write(&out).await.is_ok() {
+                    connection.linger().await;
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// An answer of the gateway's own.
+fn own(out: &mut Vec<u8>, status: u16, retry_after_us: Option<u64>, close: bool, text: &str) {
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\ncontent-length: {}\r\n", reason(status), text.len());
+    if let Some(wait) = retry_after_us.filter(|w| *w > 0) {
+        let _ = write!(out, "retry-after: {:.3}\r\n", wait as f64 / 1e6);
+    }
+    if close {
+        out.extend_from_slice(b"connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(text.as_bytes());
+}
+
+/// The library's final answer in the platform's words: 429 and 503 say that nothing has run or that trying again
+/// does no harm, anything else promises nothing.
+fn word(answer: &Final) -> (u16, Option<u64>) {
+    match answer {
+        Final::Refused { why: frostgauge::Why::Unsound, .. } => (400, None),
+        Final::Refused { why: frostgauge::Why::Quota | frostgauge::Why::Ceiling, retry_after } => {
+            (429, Some(*retry_after))
+        }
+        Final::Refused { retry_after, .. } => (503, Some(*retry_after)),
+        _ => (502, None),
+    }
+}
+
+impl Connection {
+    /// One request and its answer; whether another may follow.
+    async fn one(&mut self) -> Result<bool, End> {
+        let head = self.head().await?;
+        let framing = head.request_framing()?;
+        if head.method() == "GET" && head.target() == "/-/ready" {
+            let ready = self.handle.shared.ready.load(Ordering::Relaxed) && !self.closing.begun();
+            let mut out = Vec::new();
+            let close = self.closing.begun() || !head.persists() || framing != Framing::Length(0);
+            own(&mut out, if ready { 200 } else { 503 }, None, close, "");
+            self.write(&out).await?;
+            return Ok(!close);
+        }
+        let mut reader = BodyReader::new(framing, &REQUEST)?;
+        let front: Arc<Front> = self.handle.shared.clone();
+        let asked = request::read(&front.site, &head, framing != Framing::Length(0)).map_err(End::Say)?;
+        let (body, held) = self.body(&mut reader, framing).await?;
+        let arrived = self.handle.clock.now();
+        let Some(open) = front.open(asked.id.clone()) else {
+            return Err(End::Say(Bad { status: 409, reason: "a request with this id is open" }));
+        };
+        self.used = true;
+        let persists = head.persists();
+        let (reply, answer) = async_channel::bounded(1);
+        let call = Call {
+            ticket: self.handle.ticket(),
+            arrived,
+            patience: asked.patience,
+            repeat: asked.repeat,
+            caller: asked,
+            forward: Forward { head, body },
+            reply,
+        };
+        let ticket = call.ticket;
+        if !self.handle.send(Message::Call(Box::new(call))).await {
+            return Err(End::Close);
+        }
+        // While the answer is awaited, the connection is watched: a client that closes it has left.
+        let stream = &self.stream;
+        let buf = &mut self.buf;
+        let left = async {
+            while buf.len() < AHEAD {
+                match read_some(&mut &*stream, buf).await {
+                    Ok(0) | Err(_) => return None,
+                    Ok(_) => {}
+                }
+            }
+            std::future::pending().await
+        };
+        let answer = or(async { answer.recv().await.ok() }, left).await;
+        drop(held);
+        let Some(answer) = answer else {
+            self.handle.send(Message::Left(ticket)).await;
+            return Err(End::Close);
+        };
+        let close = !persists || self.closing.begun();
+        let mut out = Vec::new();
+        match answer {
+            Reply::Node(node) => {
+                let kind = node.head.one("content-type").map(|k| ("content-type", k.as_bytes()));
+                let end = close.then_some(("connection", &b"close"[..]));
+                out.reserve(node.body.len() + 160);
+                write_response(&mut out, 200, kind.into_iter().chain(end), Body::Whole(&node.body));
+            }
+            Reply::Own(answer) => {
+                let (status, wait) = word(&answer);
+                own(&mut out, status, wait, close, answer.reason());
+            }
+        }
+        let written = self.write(&out).await;
+        // The id is free once the answer is out, not before.
+        drop(open);
+        written?;
+        Ok(!close)
+    }
+
+    /// The next head.
+    async fn head(&mut self) -> Result<Head, End> {
+        let mut reader = HeadReader::default();
+        let mut begun = !self.buf.is_empty();
+        let mut deadline = match (self.used, begun) {
+            (false, _) => self.opened + FIRST,
+            (true, true) => Instant::now() + WHOLE,
+            (true, false) => Instant::now() + IDLE,
+        };
+        let mut closing = self.closing.begun();
+        if closing && !begun {
+            deadline = Instant::now() + CLOSING;
+        }
+        loop {
+            if let Some(end) = reader.push(&self.buf, &REQUEST)? {
+                let head = Head::request(&self.buf[..end])?;
+                self.buf.drain(..end);
+                return Ok(head);
+            }
+            if !begun && !self.buf.is_empty() {
+                begun = true;
+                deadline = if self.used { Instant::now() + WHOLE } else { self.opened + FIRST };
+            }
+            let idle = self.seat.idle(self.used);
+            let (stream, buf) = (&self.stream, &mut self.buf);
+            let read = async { Some(until(deadline, read_some(&mut &*stream, buf)).await) };
+            let asked = async {
+                idle.asked().await;
+                Some(Timed::Late)
+            };
+            let wait = or(read, asked);
+            let got = if closing || begun { wait.await } else { or_closing(&self.closing, wait).await };
+            drop(idle);
+            match got {
+                // The process closes: it goes on reading for a while, since a request may be on its way.
+                None => {
+                    closing = true;
+                    deadline = Instant::now() + CLOSING;
+                }
+                Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
+                Some(Timed::Done(Ok(_))) => {}
+                Some(Timed::Late) if begun => {
+                    return Err(End::Say(Bad {
+                        status: 408,
+                        reason: "the request did not come whole in time",
+                    }));
+                }
+                Some(Timed::Late) => return Err(End::Close),
+            }
+        }
+    }
+
+    /// The content, and what it takes of the bytes that may be held for all clients.
+    async fn body(
+        &mut self,
+        reader: &mut BodyReader,
+        framing: Framing,
+    ) -> Result<(Vec<u8>, Option<Taken>), End> {
+        let bytes = match framing {
+            Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
+            _ => REQUEST.body as usize,
+        };
+        if bytes == 0 {
+            return Ok((Vec::new(), None));
+        }
+        let held = self.handle.shared.bytes.take(bytes);
+        if held.is_none() {
+            return Err(End::Say(Bad { status: 503, reason: "no room for the content" }));
+        }
+        let deadline = if self.used { Instant::now() + WHOLE } else { self.opened + FIRST };
+        let mut body = Vec::new();
+        loop {
+            let taken = reader.push(&self.buf, &mut body)?;
+            self.buf.drain(..taken);
+            if reader.done() {
+                return Ok((body, held));
+            }
+            match until(deadline, read_some(&mut &self.stream, &mut self.buf)).await {
+                Timed::Done(Ok(0) | Err(_)) => return Err(End::Close),
+                Timed::Done(Ok(_)) => {}
+                Timed::Late => {
+                    return Err(End::Say(Bad {
+                        status: 408,
+                        reason: "the request did not come whole in time",
+                    }));
+                }
+            }
+        }
+    }
+
+    async fn write(&self, out: &[u8]) -> Result<(), End> {
+        match until(Instant::now() + WRITE, (&mut &self.stream).write_all(out)).await {
+            Timed::Done(Ok(())) => Ok(()),
+            _ => Err(End::Close),
+        }
+    }
+
+    /// Closes the sending side, and reads a little of what still comes.
+    async fn linger(self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let drain = async {
+            let (mut seen, mut all) = (Vec::new(), 0);
+            while all < LINGER.1 {
+                seen.clear();
+                match read_some(&mut &self.stream, &mut seen).await {
+                    Ok(n) if n > 0 => all += n,
+                    _ => return,
+                }
+            }
+        };
+        let _ = until(Instant::now() + LINGER.0, drain).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/outside.rs
@@ -0,0 +1,289 @@
+//! What lies around the engine on the platform: callers come with their requests, servers from discovery.
+
+use crate::budget::Shares;
+use crate::links::Links;
+use crate::peers::Peers;
+use crate::seats::Seats;
+use crate::upstream::{self, Forward, Times};
+use async_executor::{Executor, Task};
+use frostgauge::{ListKind, ServerId, Status};
+use frostgauge_gateway::clock::{Clock, Micros};
+use frostgauge_gateway::core::{Ask, Command, Core, Input};
+use frostgauge_gateway::engine::{self, Attempt, Inside, Message, Outside};
+use frostgauge_gateway::upstream::Ended;
+use frostgauge_platform::config::Config;
+use frostgauge_platform::request::Request;
+use frostgauge_platform::settings::Site;
+use frostgauge_platform::targets::Target;
+use frostgauge_settings::Insurer;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How often idle connections are looked through.
+const SWEEP: Micros = 500_000;
+/// Where the settings tell no time for connecting, and none for idle connections.
+const CONNECT: Duration = Duration::from_millis(250);
+const IDLE: Duration = Duration::from_secs(10);
+/// Most requests open at once, where the settings tell no other number: over any number of clients' seats.
+const MOST_OPEN: usize = 20_000;
+
+/// The handle of such an engine.
+pub type Handle = engine::Handle<Platform>;
+/// A call of such an engine.
+pub type Call = engine::Call<Platform>;
+/// Such an engine.
+pub type Engine = engine::Engine<Platform>;
+
+/// What may happen beside requests.
+#[derive(Debug)]
+pub enum News {
+    /// Discovery told of servers.
+    Listed(ListKind, Vec<Target>),
+}
+
+/// What fronts share with the engine.
+#[derive(Debug)]
+pub struct Front {
+    /// The settings.
+    pub site: Site,
+    /// Seats for clients' connections.
+    pub seats: Seats,
+    /// Bytes of content that may be held for clients.
+    pub bytes: crate::budget::Stock,
+    /// Requests can be served.
+    pub ready: AtomicBool,
+    /// Ids of open requests.
+    open: Mutex<BTreeSet<Box<str>>>,
+}
+
+/// An open request's id; dropping it frees the id.
+#[derive(Debug)]
+pub struct OpenId {
+    front: Arc<Front>,
+    id: Box<str>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.front.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
+impl Front {
+    /// Opens a request's id; `None` if a request with this id is open already. Guards against a second copy, sent by
+    /// whoever took another client's id.
+    pub fn open(self: &Arc<Self>, id: Box<str>) -> Option<OpenId> {
+        let new = self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| OpenId { front: self.clone(), id })
+    }
+}
+
+struct Known {
+    address: SocketAddr,
+    started_ms: u64,
+    listed: bool,
+}
+
+/// The platform around an engine.
+pub struct Platform {
+    handle: Handle,
+    executor: Arc<Executor<'static>>,
+    links: Arc<Links>,
+    servers: BTreeMap<ServerId, Known>,
+    /// Attempts out, by server.
+    out: BTreeMap<ServerId, usize>,
+    peers: Option<Peers>,
+    scope: Arc<str>,
+    swept: Micros,
+}
+
+/// An engine that starts now, and its handle.
+///
+/// # Errors
+/// Settings that the library does not take.
+pub fn engine(
+    config: &Config,
+    clock: Clock,
+    executor: Arc<Executor<'static>>,
+    peers: Option<Peers>,
+) -> Result<(Engine, Handle), frostgauge::SettingsError> {
+    let (now, site) = (clock.now(), &config.site);
+    let shares = Shares::of(&config.limits);
+    let most_open = if site.most_open > 0 { site.most_open } else { MOST_OPEN };
+    let core = Core::without_tokens(site.settings.clone(), most_open, config.seed, now)?;
+    // Well inside the time after which servers close: what closes as it is used may have run.
+    let idle = if site.idle > 0 { Duration::from_micros(site.idle) * 3 / 4 } else { IDLE };
+    let front = Front {
+        site: site.clone(),
+        seats: Seats::new(shares.clients),
+        bytes: crate::budget::Stock::new(shares.bytes),
+        ready: AtomicBool::new(false),
+        open: Mutex::default(),
+    };
+    let (handle, inbox) = Handle::new(clock, Arc::new(front));
+    let outside = Platform {
+        handle: handle.clone(),
+        executor,
+        links: Arc::new(Links::new(shares.servers, idle)),
+        servers: BTreeMap::new(),
+        out: BTreeMap::new(),
+        peers,
+        scope: Arc::from(""),
+        swept: now,
+    };
+    Ok((Engine::new(core, outside, clock, inbox), handle))
+}
+
+impl Platform {
+    fn times(&self, timeout: Micros) -> Times {
+        let (now, site) = (Instant::now(), &self.handle.shared.site);
+        let connect = if site.connect > 0 { Duration::from_micros(site.connect) } else { CONNECT };
+        let grace = if site.drain_grace > 0 { Duration::from_micros(site.drain_grace) } else { connect };
+        Times {
+            connect,
+            first_byte: now + grace.min(2 * connect),
+            deadline: now + Duration::from_micros(timeout),
+        }
+    }
+
+    fn listed(&mut self, kind: ListKind, targets: &[Target]) {
+        if kind != ListKind::Delta {
+            for known in self.servers.values_mut() {
+                known.listed = false;
+            }
+        }
+        let site = &self.handle.shared.site;
+        for target in targets {
+            let (server, gone) = (target.server(), target.entry(site).state == frostgauge::State::Gone);
+            let Some(address) = target.address.filter(|_| !gone) else {
+                self.servers.entry(server).and_modify(|known| known.listed = false);
+                continue;
+            };
+            let new = Known { address, started_ms: target.started_ms, listed: true };
+            let old = self.servers.insert(server, new);
+            // Connections of an earlier start, or to where it was, are of no use.
+            if old.is_some_and(|o| o.address != address || o.started_ms != target.started_ms) {
+                self.links.forget(server);
+            }
+        }
+        let (links, out) = (&self.links, &self.out);
+        self.servers.retain(|server, known| {
+            if !known.listed {
+                links.forget(*server);
+            }
+            known.listed || out.contains_key(server)
+        });
+    }
+}
+
+impl Outside for Platform {
+    type Caller = Request;
+    type Forward = Forward;
+    type News = News;
+    type Shared = Arc<Front>;
+
+    fn enter(&mut self, call: &Call) -> Option<Input> {
+        let caller = &call.caller;
+        let ask = Ask {
+            ticket: call.ticket,
+            token: [0; 16],
+            class: caller.class,
+            units: caller.units,
+            scope: self.scope.clone(),
+            arrived: call.arrived,
+            patience: call.patience,
+            repeat: call.repeat,
+        };
+        let caller =
+            Insurer { id: caller.customer, plan: caller.plan, first: caller.first, spread: caller.spread };
+        Some(Input::Known { ask, caller })
+    }
+
+    fn news(&mut self, now: Micros, news: News, inside: Inside<'_>, out: &mut Vec<Command>) {
+        match news {
+            News::Listed(kind, targets) => {
+                self.listed(kind, &targets);
+                let site = &self.handle.shared.site;
+                let entries = targets.iter().map(|t| t.entry(site)).collect();
+                inside.core.listed(now, kind, entries, out);
+                self.handle.shared.ready.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn start(&mut self, attempt: Attempt, call: Option<&Call>) -> Task<()> {
+        let Attempt { ticket, attempt, server, timeout, .. } = attempt;
+        let inbox = self.handle.inbox();
+        *self.out.entry(server).or_default() += 1;
+        let Some((known, call)) = self.servers.get(&server).zip(call) else {
+            // Neither can be missing while the core sends; if one were, nothing has run.
+            let ended = Ended { status: Status::Moot, response: None, used: None, load: None };
+            return self.executor.spawn(async move {
+                let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
+            });
+        };
+        let (to, times) = (known.address, self.times(timeout));
+        let bytes = call.forward.bytes(to, Duration::from_micros(timeout));
+        let (links, front) = (self.links.clone(), self.handle.shared.clone());
+        self.executor.spawn(async move {
+            let ended = upstream::attempt(&links, &front.site, (server, to), &bytes, times).await;
+            let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
+        })
+    }
+
+    fn over(&mut self, server: ServerId) {
+        if let Some(out) = self.out.get_mut(&server) {
+            *out -= 1;
+            if *out == 0 {
+                self.out.remove(&server);
+            }
+        }
+    }
+
+    fn command(&mut self, _: Micros, command: Command) -> Option<Input> {
+        match command {
+            Command::Probe { server } => {
+                let to = self.servers.get(&server)?.address;
+                let (inbox, links, front) =
+                    (self.handle.inbox(), self.links.clone(), self.handle.shared.clone());
+                let mut times = self.times(0);
+                times.deadline = Instant::now() + times.connect;
+                let probe = async move {
+                    let ended = upstream::probe(&links, &front.site, (server, to), times).await;
+                    let _ = inbox.send(Message::Probed { server, ended }).await;
+                };
+                self.executor.spawn(probe).detach();
+                None
+            }
+            Command::Tell { to, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &data);
+                }
+                None
+            }
+            // No counter stands beside a platform's gateway: turned away, certainly not added.
+            Command::Count { counter, .. } => {
+                Some(Input::Counted { counter, total: None, unsure: false, took: 0 })
+            }
+            // Tokens and zones decide nothing here; the rest is the engine's own.
+            Command::Introspect { .. }
+            | Command::Check { .. }
+            | Command::Zone(_)
+            | Command::Send { .. }
+            | Command::Cancel { .. }
+            | Command::Deliver { .. }
+            | Command::Answer { .. }
+            | Command::Log(_) => None,
+        }
+    }
+
+    fn rest(&mut self, now: Micros, _: Inside<'_>) {
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            self.links.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream.rs
@@ -0,0 +1,152 @@
+//! Attempts at servers and probes of them, and what their ends prove.
+
+use crate::links::Links;
+use frostgauge::{Load, ServerId, Status};
+use frostgauge_gateway::upstream::Ended;
+use frostgauge_net::{exhausted, talk, until, Response, Timed};
+use frostgauge_platform::{answer, request, settings::Site};
+use frostgauge_proto::http::{write_request, Body, Head, Limits};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Bounds on an answer: content as the protocol has it, heads with room to spare.
+pub const ANSWER: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
+
+/// A client's request, as it is passed on.
+#[derive(Debug)]
+pub struct Forward {
+    /// Its head.
+    pub head: Head,
+    /// Its content.
+    pub body: Vec<u8>,
+}
+
+impl Forward {
+    /// The request's bytes for a server that has this long.
+    pub fn bytes(&self, to: SocketAddr, left: Duration) -> Vec<u8> {
+        let mut host = [0u8; 64];
+        let mut rest = &mut host[..];
+        // 64 bytes hold any socket address.
+        let _ = write!(rest, "{to}");
+        let length = 64 - rest.len();
+        let left = left.as_millis().to_string();
+        let set: [(&str, &[u8]); 2] = [("host", &host[..length]), (request::LEFT, left.as_bytes())];
+        let passed = self.head.fields().filter(|(name, _)| *name == request::ID || *name == "content-type");
+        let mut out = Vec::with_capacity(256 + self.body.len());
+        let none = self.body.is_empty() && self.head.method() == "GET";
+        let body = if none { Body::None } else { Body::Whole(&self.body) };
+        write_request(&mut out, self.head.method(), self.head.target(), set.into_iter().chain(passed), body);
+        out
+    }
+}
+
+/// Times of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// A new connection must stand by then.
+    pub connect: Duration,
+    /// The first byte goes out by then or not at all: guards against an attempt that is decided, waits for its
+    /// connection, and reaches a server that was told to drain meanwhile.
+    pub first_byte: Instant,
+    /// It is given up then.
+    pub deadline: Instant,
+}
+
+fn bare(status: Status) -> Ended {
+    Ended { status, response: None, used: None, load: None }
+}
+
+/// Makes an attempt. Where its connection ends before the last byte is written it has never run; after that it may
+/// have. An answer that makes no sense is none: the connection is closed and nothing of it is passed on.
+pub async fn attempt(
+    links: &Links,
+    site: &Site,
+    (server, to): (ServerId, SocketAddr),
+    request: &[u8],
+    times: Times,
+) -> Ended {
+    match exchange(links, (server, to), request, times).await {
+        Ok(response) => ended(site, response),
+        Err(status) => bare(status),
+    }
+}
+
+fn ended(site: &Site, response: Response) -> Ended {
+    let head = &response.head;
+    let (status, used, load) = (answer::status(head), answer::used(head), answer::report(site, head));
+    Ended { status, response: Some(Box::new(response)), used, load }
+}
+
+async fn exchange(
+    links: &Links,
+    (server, to): (ServerId, SocketAddr),
+    request: &[u8],
+    times: Times,
+) -> Result<Response, Status> {
+    let Times { connect, first_byte, deadline } = times;
+    if let Some(link) = links.take(server) {
+        let mut written = 0;
+        let talked = until(deadline, talk(&link.stream, request, false, &ANSWER, &mut written)).await;
+        match talked {
+            Timed::Done(Ok((response, keep))) => {
+                if keep {
+                    links.put(server, link);
+                }
+                return Ok(response);
+            }
+            // Closed before a byte of this went out: no attempt was made yet.
+            Timed::Done(Err(_)) if written == 0 => {}
+            end => return Err(proof(matches!(end, Timed::Late), written, request.len())),
+        }
+    }
+    let place = links.place().ok_or(Status::Moot)?;
+    let limit = deadline.min(first_byte).min(Instant::now() + connect);
+    let stream = match until(limit, async_io::Async::<TcpStream>::connect(to)).await {
+        Timed::Done(Ok(stream)) => stream,
+        Timed::Done(Err(e)) if exhausted(&e) => return Err(Status::Moot),
+        Timed::Done(Err(_)) => return Err(Status::ConnectFailed),
+        // The client's time ran out first: that says nothing of the server.
+        Timed::Late if limit == deadline => return Err(Status::Moot),
+        Timed::Late => return Err(Status::ConnectFailed),
+    };
+    if Instant::now() > first_byte {
+        return Err(Status::Moot);
+    }
+    let _ = stream.get_ref().set_nodelay(true);
+    let link = Links::link(stream, place);
+    let mut written = 0;
+    match until(deadline, talk(&link.stream, request, false, &ANSWER, &mut written)).await {
+        Timed::Done(Ok((response, keep))) => {
+            if keep {
+                links.put(server, link);
+            }
+            Ok(response)
+        }
+        end => Err(proof(matches!(end, Timed::Late), written, request.len())),
+    }
+}
+
+/// What is proven when there is no answer.
+fn proof(late: bool, written: usize, all: usize) -> Status {
+    match (written < all, late) {
+        (true, false) => Status::ConnectFailed,
+        (true, true) => Status::Moot,
+        (false, false) => Status::Reset,
+        (false, true) => Status::Timeout,
+    }
+}
+
+/// Probes a server: its load where there are reports, else its health.
+pub async fn probe(links: &Links, site: &Site, (server, to): (ServerId, SocketAddr), times: Times) -> Ended {
+    let reports = !site.columns.is_empty();
+    let path = if reports { "/-/load" } else { "/-/healthy" };
+    let mut request = Vec::new();
+    let host = to.to_string();
+    write_request(&mut request, "GET", path, [("host", host.as_bytes())].into_iter(), Body::None);
+    let mut ended = attempt(links, site, (server, to), &request, times).await;
+    let told: Option<Load> = ended.response.as_ref().and_then(|r| answer::load(site, &r.body));
+    ended.load = told.or(ended.load);
+    ended.response = None;
+    ended
+}
--- a/crates/simhost/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,6 +1,7 @@
-//! The settings object of a launch, read into the library's settings. Unknown keys are skipped.
+//! The settings object, as the simulator's first message and the platform's configuration hold it, read into the
+//! library's settings and the figures that sockets need. Unknown keys are skipped.
 
-use frostgauge::{Allow, Class, Effect, Group, Plan, Reports, Rules, Settings};
+use frostgauge::{Allow, Class, Effect, Group, Load, Micros, Plan, Reports, Rules, Settings};
 use serde_json::Value;
 
 struct Reader<'a>(&'a Value, String);
@@ -35,8 +36,75 @@
     }
 }
 
-/// The settings and the names of the columns of load reports.
-pub(crate) fn read(info: &Value) -> Result<(Settings, Vec<String>), String> {
+/// A value of a load report that the decisions know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Column {
+    /// Requests in hand.
+    Inflight,
+    /// Requests waiting.
+    Queue,
+    /// Busy share of the cores.
+    Util,
+    /// Recent service time, milliseconds.
+    Latency,
+    /// Something else.
+    Other,
+}
+
+impl Column {
+    /// By the name that settings and reports give it.
+    pub fn named(name: &str) -> Column {
+        match name {
+            "outstanding" | "inflight" => Column::Inflight,
+            "backlog" | "queue" => Column::Queue,
+            "utilization" | "util" => Column::Util,
+            "recent_ms" | "latency_ms" => Column::Latency,
+            _ => Column::Other,
+        }
+    }
+
+    /// Puts a value in its place.
+    pub fn put(self, load: &mut Load, value: Option<f64>) {
+        match self {
+            Column::Inflight => load.inflight = value,
+            Column::Queue => load.queue = value,
+            Column::Util => load.util = value,
+            Column::Latency => load.latency_ms = value,
+            Column::Other => {}
+        }
+    }
+}
+
+/// What the settings object says.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// For the decisions.
+    pub settings: Settings,
+    /// The columns of load reports, in order.
+    pub columns: Vec<Column>,
+    /// Names of classes, in order.
+    pub classes: Vec<String>,
+    /// Names of plans, in order.
+    pub plans: Vec<String>,
+    /// Names of zones, in order.
+    pub zones: Vec<String>,
+    /// Most units of one request; 0 means no limit is told.
+    pub most_units: f64,
+    /// Most requests open at once; 0 means no limit is told.
+    pub most_open: usize,
+    /// Servers close connections idle for this long.
+    pub idle: Micros,
+    /// A connection not up by then counts as failed.
+    pub connect: Micros,
+    /// Nothing new goes to a draining server after this time.
+    pub drain_grace: Micros,
+}
+
+/// Reads the object.
+///
+/// # Errors
+/// What is missing or of the wrong kind, with its path.
+pub fn read(info: &Value) -> Result<Site, String> {
     let root = Reader(info, String::new());
     let (limits, rules, family, stats) =
         (root.at("limits")?, root.at("rules")?, root.at("familyInfo")?, root.at("stats")?);
@@ -76,7 +144,11 @@
         })
     };
     let columns = stats.0.get("columns").and_then(Value::as_array);
-    let columns = columns.into_iter().flatten().map(|c| c.as_str().unwrap_or("").to_owned()).collect();
+    let columns = columns.into_iter().flatten().map(|c| Column::named(c.as_str().unwrap_or(""))).collect();
+    let names = |key: &str| -> Vec<String> {
+        let rows = info.get(key).and_then(Value::as_array).into_iter().flatten();
+        rows.map(|r| r.get("name").unwrap_or(r).as_str().unwrap_or("").to_owned()).collect()
+    };
     let settings = Settings {
         me: root.micros("me")? as usize,
         gateways: root.micros("siblings")? as usize,
@@ -116,5 +188,16 @@
             fall: rules.micros("tipAfterUs")?,
         },
     };
-    Ok((settings, columns))
+    Ok(Site {
+        settings,
+        columns,
+        classes: names("classes"),
+        plans: names("plans"),
+        zones: names("zones"),
+        most_units: family.number("maxUnits").unwrap_or(0.0),
+        most_open: limits.micros("maxOpen").unwrap_or(0) as usize,
+        idle: limits.micros("connIdleUs").unwrap_or(0),
+        connect: limits.micros("connectTimeoutUs").unwrap_or(0),
+        drain_grace: rules.micros("drainGraceUs").unwrap_or(0),
+    })
 }
--- a/crates/simhost/src/events.rs
+++ b/crates/simhost/src/events.rs
@@ -55,13 +55,7 @@
     let row = value?.as_array()?;
     let mut load = Load::default();
     for (column, value) in instance.columns.iter().zip(row) {
-        match column.as_str() {
-            "outstanding" => load.inflight = value.as_f64(),
-            "backlog" => load.queue = value.as_f64(),
-            "utilization" => load.util = value.as_f64(),
-            "recent_ms" => load.latency_ms = value.as_f64(),
-            _ => {}
-        }
+        column.put(&mut load, value.as_f64());
     }
     Some(load)
 }
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -2,9 +2,9 @@
 
 mod actions;
 mod events;
-mod settings;
 
 use frostgauge::{Action, Event, Gateway, Micros, RequestId, ServerId};
+use frostgauge_platform::settings::{self, Column};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -19,7 +19,7 @@
 /// One gateway and the wire's names for what it numbers.
 struct Instance {
     gateway: Gateway,
-    columns: Vec<String>,
+    columns: Vec<Column>,
     servers: HashMap<ServerId, String>,
     ids: HashMap<String, RequestId>,
     requests: HashMap<RequestId, Named>,
@@ -119,8 +119,8 @@
         let seed = fields.first().and_then(|v| v.as_u64().or(v.as_i64().map(|s| s as u64))).ok_or("prng")?;
         let info = fields.get(1).filter(|v| v.is_object()).ok_or("settings")?;
         self.instances.remove(&i);
-        let made = settings::read(info).and_then(|(settings, columns)| {
-            Ok((Gateway::new(settings, seed, now).map_err(|e| e.to_string())?, columns))
+        let made = settings::read(info).and_then(|site| {
+            Ok((Gateway::new(site.settings, seed, now).map_err(|e| e.to_string())?, site.columns))
         });
         match made {
             Ok((gateway, columns)) => {
