--- /dev/null
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -0,0 +1,440 @@
+//! The platform around one gateway, on loopback: discovery's agent, scripted servers, clients, and the program itself.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; only a failing test waits so long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits for a condition.
+pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message read off a socket.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+    pub fn id(&self) -> String {
+        self.field("x-txn").unwrap_or("").to_owned()
+    }
+}
+
+/// Reads one message; `None` at the end of the stream.
+pub fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut line = String::new();
+    if stream.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let mut message = Message { first: line.trim_end().to_owned(), ..Message::default() };
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        message.fields.push((name.to_owned(), value.trim().to_owned()));
+    }
+    let length = message.field("content-length").map_or(0, |v| v.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What a server does with a request; it may write what it likes. False closes the connection.
+pub type Act = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
+
+/// A good answer's bytes: a body that names the request.
+pub fn good(request: &Message) -> Vec<u8> {
+    answer(200, "", &format!("served {}", request.id()))
+}
+
+pub fn answer(status: u16, fields: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\n{fields}content-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Serves well.
+pub fn serve() -> Box<Act> {
+    Box::new(|request, stream| stream.write_all(&good(request)).is_ok())
+}
+
+/// A scripted server with what it saw; probes are answered beside the script.
+pub struct Server {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    pub connections: Arc<AtomicUsize>,
+    /// Connections that the gateway has closed.
+    pub closed: Arc<AtomicUsize>,
+    act: Arc<Mutex<Arc<Act>>>,
+}
+
+impl Server {
+    pub fn start(act: Box<Act>) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let server = Server {
+            address: listener.local_addr().expect("an address"),
+            seen: Arc::default(),
+            connections: Arc::default(),
+            closed: Arc::default(),
+            act: Arc::new(Mutex::new(Arc::from(act))),
+        };
+        let (seen, connections, closed, act) =
+            (server.seen.clone(), server.connections.clone(), server.closed.clone(), server.act.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                connections.fetch_add(1, Ordering::SeqCst);
+                let (seen, closed, act) = (seen.clone(), closed.clone(), act.clone());
+                std::thread::spawn(move || {
+                    let mut writer = stream.try_clone().expect("a clone");
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = read(&mut reader) {
+                        if request.first.starts_with("GET /-/") {
+                            if writer.write_all(&answer(200, "", r#"{"outstanding":1}"#)).is_err() {
+                                break;
+                            }
+                            continue;
+                        }
+                        seen.lock().expect("unpoisoned").push(request.clone());
+                        let act = act.lock().expect("unpoisoned").clone();
+                        if !act(&request, &mut writer) {
+                            return;
+                        }
+                    }
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        server
+    }
+
+    pub fn set(&self, act: Box<Act>) {
+        *self.act.lock().expect("unpoisoned") = Arc::from(act);
+    }
+
+    pub fn ids(&self) -> Vec<String> {
+        self.seen.lock().expect("unpoisoned").iter().map(Message::id).collect()
+    }
+
+    pub fn entry(&self, id: &str, lifecycle: &str) -> Value {
+        json!({"instanceId": id, "hostPort": self.address.to_string(), "zone": "a", "machineType": "m",
+               "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+    }
+}
+
+#[derive(Default)]
+struct Told {
+    generation: u64,
+    list: Value,
+    changes: Vec<(u64, Value)>,
+    /// Sent in place of the next answers.
+    instead: Vec<Vec<u8>>,
+    asked: Vec<String>,
+}
+
+/// Discovery's agent.
+pub struct Discovery {
+    pub address: SocketAddr,
+    told: Arc<(Mutex<Told>, Condvar)>,
+}
+
+impl Discovery {
+    pub fn start(list: Vec<Value>) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let told = Told { generation: 1, list: Value::Array(list), ..Told::default() };
+        let told = Arc::new((Mutex::new(told), Condvar::new()));
+        let shared = told.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let told = shared.clone();
+                std::thread::spawn(move || {
+                    let mut writer = stream.try_clone().expect("a clone");
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = read(&mut reader) {
+                        if writer.write_all(&reply(&told, &request)).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Discovery { address, told }
+    }
+
+    /// Tells of changed entries.
+    pub fn change(&self, entries: Vec<Value>) {
+        let mut told = self.told.0.lock().expect("unpoisoned");
+        told.generation += 1;
+        let generation = told.generation;
+        told.changes.push((generation, Value::Array(entries)));
+        self.told.1.notify_all();
+    }
+
+    /// Sends these bytes in place of the next answer, and an answer at once to whoever waits.
+    pub fn instead(&self, bytes: &[u8]) {
+        let mut told = self.told.0.lock().expect("unpoisoned");
+        told.instead.push(bytes.to_vec());
+        self.told.1.notify_all();
+    }
+
+    pub fn asked(&self) -> Vec<String> {
+        self.told.0.lock().expect("unpoisoned").asked.clone()
+    }
+}
+
+fn reply(told: &(Mutex<Told>, Condvar), request: &Message) -> Vec<u8> {
+    let target = request.first.split(' ').nth(1).unwrap_or("").to_owned();
+    let from = target.split("from=").nth(1).and_then(|t| t.split('&').next()).and_then(|t| t.parse().ok());
+    let mut guard = told.0.lock().expect("unpoisoned");
+    guard.asked.push(target);
+    let waits = |t: &mut Told| from == Some(t.generation) && t.instead.is_empty();
+    let limit = Duration::from_millis(500);
+    guard = told.1.wait_timeout_while(guard, limit, waits).expect("unpoisoned").0;
+    if !guard.instead.is_empty() {
+        return guard.instead.remove(0);
+    }
+    let body = match from {
+        None => json!({"generation": guard.generation, "reset": true, "instances": guard.list}),
+        Some(from) => {
+            let new = guard.changes.iter().filter(|(g, _)| *g > from);
+            let entries: Vec<Value> =
+                new.flat_map(|(_, e)| e.as_array().cloned().unwrap_or_default()).collect();
+            json!({"generation": guard.generation, "reset": false, "instances": entries})
+        }
+    };
+    answer(200, "content-type: application/json\r\n", &body.to_string())
+}
+
+/// The settings of the tests' site: a class that may run again and one that may not, a wide plan and a small one.
+pub fn settings() -> Value {
+    json!({
+        "az": 0, "me": 0, "siblings": 2, "tickUs": 2000, "discovery": "push", "zones": ["a", "b"],
+        "classes": [
+            {"aimUs": 600000, "deadlineUs": 2500000, "group": "all", "lateWorth": 0.2, "name": "claim-read",
+             "semantics": "retryable", "stream": false, "value": 2.0, "windowUs": 0},
+            {"aimUs": 600000, "deadlineUs": 1500000, "group": "all", "lateWorth": 0.0, "name": "loss-report",
+             "semantics": "fragile", "stream": false, "value": 6.0, "windowUs": 0}],
+        "plans": [
+            {"ceilingRate": 0.0, "concurrency": 0, "depth": 100000.0, "excessCost": 1.0, "excessWorth": 0.0,
+             "name": "wide", "neverOverDepth": 0.0, "rate": 100000.0, "tolerance": 0.0, "valueFactor": 1.0},
+            {"ceilingRate": 0.0, "concurrency": 0, "depth": 2.0, "excessCost": 1.0, "excessWorth": 0.0,
+             "name": "small", "neverOverDepth": 0.0, "rate": 0.01, "tolerance": 0.0, "valueFactor": 1.0}],
+        "callers": {"marksRetry": true},
+        "familyInfo": {"countFee": 0.0, "countLimitUs": 0, "mailPerS": 40.0, "maxUnits": 1, "meterUs": 0,
+                       "sharedCounter": false, "truedUp": false},
+        "limits": {"attemptsCap": 4, "cancel": true, "connIdleUs": 15000000, "connectTimeoutUs": 250000,
+                   "maxOpen": 20000, "maxRetryAfterUs": 1000000, "mayProbe": true, "peers": true,
+                   "retryAfter": true, "secondCopies": false},
+        "prices": {"peer": 0.03, "probe": 0.01},
+        "rules": {"coldFrom": 0.15, "fallMultiple": 3.0, "graceToAnswerUs": 8000, "tipAfterUs": 1500000,
+                  "warmAfterUs": 17000000, "drainGraceUs": 500000},
+        "stats": {"columns": ["outstanding", "recent_ms"], "how": "probe"},
+    })
+}
+
+/// A port that was free a moment ago.
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// The program, started on the platform.
+pub struct Gateway {
+    pub address: SocketAddr,
+    pub folder: PathBuf,
+    pub config: Value,
+    pub peer: UdpSocket,
+    child: Child,
+    log: Arc<Mutex<String>>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+pub fn folder() -> PathBuf {
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("frostgauge-platform-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// The program with its variables, not started.
+pub fn program(address: SocketAddr, discovery: SocketAddr, config: &std::path::Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_frostgauged"));
+    command
+        .arg("--platform")
+        .env("NODE_NAME", "n0")
+        .env("NODE_LISTEN", address.to_string())
+        .env("NODE_DISCOVERY", discovery.to_string())
+        .env("NODE_CONFIG", config)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
+    command
+}
+
+impl Gateway {
+    /// Starts it with 256 descriptors to share out, and waits until it is ready.
+    pub fn start(discovery: &Discovery) -> Gateway {
+        Gateway::with(discovery, settings())
+    }
+
+    pub fn with(discovery: &Discovery, settings: Value) -> Gateway {
+        let (address, folder) = (free(), folder());
+        let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let peer_listen =
+            UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port").to_string();
+        let peers = json!([peer_listen, peer.local_addr().expect("an address").to_string()]);
+        let config = json!({
+            "name": "n0", "listen": address.to_string(), "discovery": discovery.address.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+            "peer_listen": peer_listen, "peers": peers, "peers_all": "127.0.0.1:9",
+            "known": {"generation": 0, "reset": true, "instances": []}, "settings": settings,
+        });
+        let path = folder.join("config.json");
+        std::fs::write(&path, config.to_string()).expect("written");
+        let mut child = program(address, discovery.address, &path).spawn().expect("started");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (lines, kept) = (child.stderr.take().expect("piped"), log.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(lines).lines().map_while(Result::ok) {
+                let mut log = kept.lock().expect("unpoisoned");
+                log.push_str(&line);
+                log.push('\n');
+            }
+        });
+        let gateway = Gateway { address, folder, config, peer, child, log };
+        wait("ready", || {
+            TcpStream::connect(address).is_ok_and(|s| {
+                Client(BufReader::new(s)).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status() == 200
+            })
+        });
+        gateway
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.address)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("sent");
+    }
+
+    pub fn rewrite(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("written");
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().expect("unpoisoned").clone()
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait("the program's end", || {
+            status = self.child.try_wait().expect("a child");
+            status.is_some()
+        });
+        status.expect("ended")
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+static ID: AtomicU64 = AtomicU64::new(1);
+
+/// An id that was never used.
+pub fn id() -> String {
+    format!("{:016x}", ID.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A usual request's bytes: a read, or a report with content.
+pub fn request(id: &str, report: bool) -> Vec<u8> {
+    let (line, body) =
+        if report { ("POST /loss-report/7?x=1", "hail") } else { ("GET /claim-read/7?x=1", "") };
+    let length = if report { format!("content-length: {}\r\n", body.len()) } else { String::new() };
+    format!(
+        "{line} HTTP/1.1\r\nHost: api.internal\r\nX-Txn: {id}\r\nX-Tariff: wide\r\n\
+         Cookie: key=00000000b4d65521\r\nX-Remaining-Ms: 1400\r\n{length}\
+         X-Weight: units=1,spread=2,first=0\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// A client's connection.
+pub struct Client(pub BufReader<TcpStream>);
+
+impl Client {
+    pub fn to(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client(BufReader::new(stream))
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        // What the gateway has closed may refuse the rest.
+        let _ = self.0.get_mut().write_all(bytes);
+    }
+
+    /// Writes bytes and reads an answer; an empty one if the connection ended.
+    pub fn say(&mut self, bytes: &[u8]) -> Message {
+        self.write(bytes);
+        read(&mut self.0).unwrap_or_default()
+    }
+
+    pub fn answer(&mut self) -> Option<Message> {
+        read(&mut self.0)
+    }
+
+    /// Waits for the connection's end; whatever came before it.
+    pub fn end(&mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        match self.0.read_to_end(&mut rest) {
+            Ok(_) => {}
+            Err(e) => assert!(
+                matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+                "the connection stands: {e}"
+            ),
+        }
+        rest
+    }
+}
+
+/// A gateway before so many servers.
+pub fn stage(acts: Vec<Box<Act>>) -> (Vec<Server>, Discovery, Gateway) {
+    let servers: Vec<Server> = acts.into_iter().map(Server::start).collect();
+    let list = servers.iter().enumerate().map(|(k, s)| s.entry(&format!("s-{k}"), "up")).collect();
+    let discovery = Discovery::start(list);
+    let gateway = Gateway::start(&discovery);
+    (servers, discovery, gateway)
+}
--- /dev/null
+++ b/crates/frostgauged/tests/servers.rs
@@ -0,0 +1,272 @@
+//! Servers on the platform: what ends of attempts prove, answers that make no sense, and discovery.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+fn raw(bytes: &'static [u8]) -> Box<Act> {
+    Box::new(move |_, stream| stream.write_all(bytes).is_ok())
+}
+
+/// Answers that make no sense; the connection stays open.
+fn spoilt() -> Vec<(&'static str, Box<Act>)> {
+    vec![
+        ("noise", raw(b"\x00\x01\x02 noise \xff\r\n\r\n")),
+        ("a broken head", raw(b"HTTP/1.1 200 OK\r\ncontent length: 2\r\n\r\nok")),
+        ("no status", raw(b"HTTP/1.1 abc OK\r\ncontent-length: 2\r\n\r\nok")),
+        ("lengths at odds", raw(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok")),
+        (
+            "a length and a coding",
+            raw(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\nok"),
+        ),
+        ("a negative length", raw(b"HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\nok")),
+        ("no length", raw(b"HTTP/1.1 200 OK\r\n\r\nok")),
+        (
+            "3 GB",
+            Box::new(|_, s| {
+                let piece = vec![b'x'; 64 << 10];
+                let mut fine = s.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3221225472\r\n\r\n").is_ok();
+                for _ in 0..(3 << 14) {
+                    fine = fine && s.write_all(&piece).is_ok();
+                }
+                fine
+            }),
+        ),
+        (
+            "a head without an end",
+            Box::new(|_, s| {
+                let mut fine = s.write_all(b"HTTP/1.1 200 OK\r\n").is_ok();
+                for k in 0..100_000 {
+                    fine = fine && s.write_all(format!("x-{k}: y\r\n").as_bytes()).is_ok();
+                }
+                fine
+            }),
+        ),
+        (
+            "cut short",
+            Box::new(|_, s| {
+                let _ = s.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nok");
+                let _ = s.shutdown(std::net::Shutdown::Both);
+                false
+            }),
+        ),
+        ("a status of its own", raw(b"HTTP/1.1 204 No Content\r\n\r\n")),
+    ]
+}
+
+#[test]
+fn a_spoilt_answer_has_run_and_nothing_of_it_is_served() {
+    let (servers, _discovery, gateway) = stage(vec![serve()]);
+    for (what, act) in spoilt() {
+        servers[0].set(act);
+        let before = servers[0].ids().len();
+        let mut client = gateway.client();
+        let answer = client.say(&request(&id(), true));
+        assert!(matches!(answer.status(), 502..=504), "{what}: {answer:?}");
+        assert_ne!(answer.status(), 503, "{what}: it may have run");
+        assert_eq!(servers[0].ids().len(), before + 1, "{what}: sent once");
+        servers[0].set(serve());
+        // Until the server's bad name fades, tries may be refused; what is served is the request's own.
+        wait(what, || {
+            let next = id();
+            let answer = client.say(&request(&next, true));
+            assert!(matches!(answer.status(), 200 | 503), "{what}: {answer:?}");
+            answer.status() == 200 && answer.body == format!("served {next}").into_bytes()
+        });
+    }
+}
+
+#[test]
+fn an_answer_that_brings_more_than_its_own_is_served_as_made() {
+    let more: Vec<(&str, Box<Act>)> = vec![
+        (
+            "100 and 103 in front",
+            Box::new(|r, s| {
+                let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n";
+                s.write_all(&[&interim[..], &good(r)].concat()).is_ok()
+            }),
+        ),
+        (
+            "an unreadable report",
+            Box::new(|r, s| {
+                let fields = "x-pressure: {\"outstanding\":\r\nx-allowance-used: plenty\r\n";
+                s.write_all(&answer(200, fields, &format!("served {}", r.id()))).is_ok()
+            }),
+        ),
+        ("a second copy behind", Box::new(|r, s| s.write_all(&[good(r), good(r)].concat()).is_ok())),
+        ("noise behind", Box::new(|r, s| s.write_all(&[good(r), b"noise".to_vec()].concat()).is_ok())),
+        (
+            "a second copy later",
+            Box::new(|r, s| {
+                let fine = s.write_all(&good(r)).is_ok();
+                std::thread::sleep(Duration::from_millis(30));
+                fine && s.write_all(&good(r)).is_ok()
+            }),
+        ),
+    ];
+    let (servers, _discovery, gateway) = stage(vec![serve()]);
+    let mut client = gateway.client();
+    for (what, act) in more {
+        servers[0].set(act);
+        for _ in 0..3 {
+            let one = id();
+            let answer = client.say(&request(&one, true));
+            assert_eq!((answer.status(), answer.body), (200, format!("served {one}").into_bytes()), "{what}");
+            // What comes later comes before the next request.
+            std::thread::sleep(Duration::from_millis(60));
+        }
+    }
+}
+
+#[test]
+fn what_was_turned_away_unseen_goes_to_another_server() {
+    let turned =
+        || -> Box<Act> { Box::new(|_, s| s.write_all(&answer(503, "X-Turned-Away: 1\r\n", "full")).is_ok()) };
+    let (servers, _discovery, gateway) = stage(vec![turned(), serve()]);
+    let mut client = gateway.client();
+    let ids: Vec<String> = (0..10).map(|_| id()).collect();
+    for id in &ids {
+        assert_eq!(client.say(&request(id, true)).status(), 200);
+    }
+    assert_eq!(servers[1].ids(), ids);
+}
+
+#[test]
+fn a_bare_503_may_have_run() {
+    let (servers, _discovery, gateway) =
+        stage(vec![Box::new(|_, s| s.write_all(&answer(503, "", "who knows")).is_ok())]);
+    assert_eq!(gateway.client().say(&request(&id(), true)).status(), 502);
+    assert_eq!(servers[0].ids().len(), 1);
+}
+
+#[test]
+fn an_unsafe_request_on_a_connection_that_breaks_after_it_is_not_sent_again() {
+    let (servers, _discovery, gateway) = stage(vec![Box::new(|_, s| {
+        let _ = s.shutdown(std::net::Shutdown::Both);
+        false
+    })]);
+    assert_eq!(gateway.client().say(&request(&id(), true)).status(), 502);
+    assert_eq!(servers[0].ids().len(), 1);
+}
+
+/// A server that closes its connections under the first bytes of a request, and then serves nobody.
+#[test]
+fn a_server_that_refuses_is_proven_not_to_have_run() {
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let server = Server::start(serve());
+    let mut dead = server.entry("s-dead", "up");
+    dead["hostPort"] = json!(gone.to_string());
+    let discovery = Discovery::start(vec![dead, server.entry("s-0", "up")]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = gateway.client();
+    let ids: Vec<String> = (0..10).map(|_| id()).collect();
+    for id in &ids {
+        assert_eq!(client.say(&request(id, true)).status(), 200);
+    }
+    assert_eq!(server.ids(), ids);
+}
+
+#[test]
+fn a_connection_that_its_server_closed_carries_no_request() {
+    let (servers, _discovery, gateway) = stage(vec![Box::new(|r, s| {
+        let _ = s.write_all(&good(r));
+        let _ = s.shutdown(std::net::Shutdown::Both);
+        false
+    })]);
+    let mut client = gateway.client();
+    for _ in 0..5 {
+        let one = id();
+        assert_eq!(client.say(&request(&one, true)).body, format!("served {one}").into_bytes());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(servers[0].ids().len(), 5);
+}
+
+#[test]
+fn connections_are_kept_and_used_again() {
+    let (servers, _discovery, gateway) = stage(vec![serve()]);
+    let mut client = gateway.client();
+    for _ in 0..50 {
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    assert!(
+        servers[0].connections.load(Ordering::SeqCst) <= 3,
+        "one for requests, one or two beside for probes"
+    );
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let (servers, discovery, gateway) = stage(vec![serve(), serve()]);
+    let mut client = gateway.client();
+    for _ in 0..20 {
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    discovery.change(vec![servers[0].entry("s-0", "draining")]);
+    // Once the next watch is out, the change has been taken.
+    wait("a watch from the new version", || discovery.asked().iter().any(|a| a.contains("from=2")));
+    let before = servers[0].ids().len();
+    for _ in 0..20 {
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    assert_eq!(servers[0].ids().len(), before);
+}
+
+#[test]
+fn a_new_server_at_an_old_address_gets_connections_of_its_own() {
+    let (servers, discovery, gateway) = stage(vec![serve()]);
+    let mut client = gateway.client();
+    assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    let closed = servers[0].closed.load(Ordering::SeqCst);
+    discovery.change(vec![servers[0].entry("s-0", "removed"), servers[0].entry("s-new", "up")]);
+    wait("the old one's connections closed", || servers[0].closed.load(Ordering::SeqCst) > closed);
+    wait("the new one serves", || client.say(&request(&id(), true)).status() == 200);
+}
+
+#[test]
+fn discovery_that_makes_no_sense_or_falls_silent_leaves_the_list_as_it_was() {
+    let (servers, discovery, gateway) = stage(vec![serve(), serve()]);
+    let mut client = gateway.client();
+    let odd: [&[u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{\"generat",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]",
+        b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+        b"noise\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n",
+    ];
+    for bytes in odd {
+        let before = discovery.asked().len();
+        discovery.instead(bytes);
+        wait("asked again", || discovery.asked().len() >= before + 2);
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    // It is heeded again.
+    discovery.change(vec![servers[0].entry("s-0", "removed")]);
+    wait("a watch from the new version", || discovery.asked().iter().any(|a| a.contains("from=2")));
+    let before = servers[0].ids().len();
+    for _ in 0..10 {
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    assert_eq!(servers[0].ids().len(), before);
+}
+
+/// A server whose connections come up and that says nothing, and one that never answers a call.
+#[test]
+fn a_silent_server_costs_a_request_its_time_and_no_more() {
+    let silent = AtomicUsize::new(0);
+    let (servers, _discovery, gateway) = stage(vec![Box::new(move |r, s: &mut TcpStream| {
+        // Silent to the first request alone.
+        silent.fetch_add(1, Ordering::SeqCst) == 0 || s.write_all(&good(r)).is_ok()
+    })]);
+    let text = String::from_utf8(request(&id(), true)).expect("text");
+    let short = text.replace("X-Remaining-Ms: 1400", "X-Remaining-Ms: 250");
+    assert_eq!(gateway.client().say(short.as_bytes()).status(), 502);
+    assert_eq!(servers[0].ids().len(), 1);
+    let mut client = gateway.client();
+    wait("served again", || client.say(&request(&id(), true)).status() == 200);
+}
--- /dev/null
+++ b/crates/node/tests/bounds.rs
@@ -0,0 +1,120 @@
+//! Seats, links and stocks: what is bounded stays bounded.
+
+use async_io::{block_on, Async};
+use frostgauge::ServerId;
+use frostgauge_net::{until, Timed};
+use frostgauge_node::budget::{Shares, Stock};
+use frostgauge_node::links::Links;
+use frostgauge_node::seats::Seats;
+use frostgauge_platform::config::Limits;
+use futures_lite::future::poll_once;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+#[test]
+fn descriptors_are_shared_out_with_room_for_the_gateways_own() {
+    for sockets in [64, 256, 1024] {
+        let shares = Shares::of(&Limits { cores: 1.0, memory_mb: 32, sockets });
+        assert_eq!(shares.clients, shares.servers);
+        assert!(shares.clients + shares.servers + 20 <= sockets);
+        // Requests of usual clients hold a third at most.
+        assert!(sockets < 256 || shares.clients > sockets / 3);
+    }
+}
+
+#[test]
+fn a_stock_is_never_overdrawn_and_comes_back() {
+    let stock = Stock::new(10);
+    let six = stock.take(6).expect("there is room");
+    assert!(stock.take(5).is_none());
+    let four = stock.take(4).expect("there is room");
+    drop((six, four));
+    assert_eq!(stock.left(), 10);
+}
+
+#[test]
+fn who_never_asked_leaves_first_then_who_is_idle_longest() {
+    block_on(async {
+        let seats = Seats::new(3);
+        let (one, two, three) = (seats.take().await, seats.take().await, seats.take().await);
+        let (used, silent, busy) = (one.idle(true), two.idle(false), three);
+        let mut fourth = Box::pin(seats.take());
+        assert!(poll_once(&mut fourth).await.is_none());
+        assert!(poll_once(Box::pin(silent.asked())).await.is_some(), "the silent one is asked");
+        assert!(poll_once(Box::pin(used.asked())).await.is_none(), "one leaves for one that comes");
+        drop(silent);
+        drop(two);
+        let fourth = poll_once(&mut fourth).await.expect("its seat");
+        // A request came before the next one asked has left: it stays, and another is asked.
+        let again = fourth.idle(true);
+        let mut fifth = Box::pin(seats.take());
+        assert!(poll_once(&mut fifth).await.is_none());
+        assert!(poll_once(Box::pin(used.asked())).await.is_some(), "idle longest");
+        drop(used);
+        assert!(poll_once(&mut fifth).await.is_none());
+        assert!(poll_once(Box::pin(again.asked())).await.is_some());
+        drop(again);
+        drop(fourth);
+        assert!(poll_once(&mut fifth).await.is_some());
+        drop((one, busy));
+    });
+}
+
+fn pair(listener: &TcpListener) -> (Async<TcpStream>, TcpStream) {
+    let ours = TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
+    let theirs = listener.accept().expect("accepted").0;
+    (Async::new(ours).expect("registered"), theirs)
+}
+
+/// Waits until something has come, or the other side has closed.
+fn came(stream: &Async<TcpStream>) {
+    let readable = until(Instant::now() + Duration::from_secs(20), stream.readable());
+    assert!(matches!(block_on(readable), Timed::Done(Ok(()))));
+}
+
+#[test]
+fn a_link_is_used_again_only_while_quiet_open_and_young() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (server, other) = (ServerId(1), ServerId(2));
+    let links = Links::new(2, Duration::from_secs(60));
+    let put = |links: &Links, server| {
+        let (ours, theirs) = pair(&listener);
+        links.put(server, Links::link(ours, links.place().expect("room")));
+        theirs
+    };
+    let kept = put(&links, server);
+    assert!(links.take(other).is_none());
+    let link = links.take(server).expect("quiet and open");
+    (&kept).write_all(b"unasked").expect("written");
+    came(&link.stream);
+    links.put(server, link);
+    assert!(links.take(server).is_none(), "it brought something unasked for");
+    let closed = put(&links, server);
+    let link = links.take(server).expect("quiet and open");
+    drop(closed);
+    came(&link.stream);
+    links.put(server, link);
+    assert!(links.take(server).is_none(), "its server closed it");
+    let _kept = put(&links, server);
+    links.forget(server);
+    assert!(links.take(server).is_none(), "a new server does not get the old one's");
+    let old = Links::new(1, Duration::ZERO);
+    let _kept = put(&old, server);
+    old.sweep();
+    assert_eq!(old.idle(), 0);
+}
+
+#[test]
+fn links_are_bounded_in_all_and_the_oldest_idle_makes_room() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let links = Links::new(2, Duration::from_secs(60));
+    let busy = links.place().expect("room");
+    let (ours, _theirs) = pair(&listener);
+    links.put(ServerId(1), Links::link(ours, links.place().expect("room")));
+    let new = links.place().expect("the idle one's place");
+    assert_eq!(links.idle(), 0);
+    assert!(links.place().is_none(), "all are in use");
+    drop((busy, new));
+    assert!(links.place().is_some());
+}
