Servers are judged by what is usual among the ready ones, not by a fixed score

A probe of what the gateways believe, each 0.5 s: 3 to 8 of the 10 servers ejected at any time from 0:04 on, all of them healthy. Line at fault: `if (dead || self.ok < OK_EJECT)` in `judge`: three errors in quick succession eject, and after the first ejection any error does again. Ruled out: resets of one server (the probe shows 7 to 8 in 100 at each).

Change: a score is held against the median of the ready servers.

Kept connections, which are reset far more often than new ones after 100 ms idle, are the next cause.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -233,22 +233,24 @@
         1.0 - (1.0 - self.ok) * fade(now.saturating_sub(self.judged), HEAL_S)
     }
 
-    /// Books one outcome; a server that keeps failing is ejected for a time that doubles.
-    fn judge(&mut self, now: Micros, good: bool, dead: bool) {
+    /// Books one outcome; a server that keeps failing is ejected for a time that doubles. It is judged by what is
+    /// usual among the ready ones. Guards against errors that come alike at all (connections reset on the way):
+    /// by a fixed score half of the healthy servers were out, and the rest overloaded.
+    fn judge(&mut self, now: Micros, good: bool, dead: bool, usual: f64) {
         self.ok = self.success(now);
         // A server seen rarely is judged by the little that is seen, and for about as long as that lasts.
         let gap = now.saturating_sub(self.judged);
         let gain = OK_GAIN.max(1.0 - fade(gap, HEAL_S));
         self.ok += gain * (f64::from(u8::from(good)) - self.ok);
         self.judged = now;
-        if good && self.ok > OK_CLEAR {
+        if good && self.ok > OK_CLEAR * usual {
             self.ejections = 0;
         }
-        if (dead || self.ok < OK_EJECT) && now >= self.ejected {
+        if (dead || self.ok < OK_EJECT * usual) && now >= self.ejected {
             let most = EJECT.0 << EJECT.1;
             self.ejected = now + (EJECT.0 << self.ejections.min(EJECT.1)).max(gap.min(most));
             self.ejections += 1;
-            self.ok = OK_EJECT; // the next error ejects again
+            self.ok = OK_EJECT * usual; // the next error ejects again
         }
     }
 }
@@ -671,12 +673,13 @@
         if status == Status::Ok {
             self.flow.add(now, ANSWER_OF_AIM * aim, MEMORY_S);
         }
+        let usual = self.usual_success(now);
         if let Some(x) = self.servers.get_mut(&server) {
             x.open = x.open.saturating_sub(1);
             match status {
                 Status::Ok => {
                     x.item_us += ITEM_GAIN * (took as f64 / (held + 1.0) - x.item_us);
-                    x.judge(now, true, false);
+                    x.judge(now, true, false, usual);
                     x.shut.remove(&plan);
                 }
                 // Remembered for this plan alone: a server may turn one plan away and have room for others.
@@ -685,9 +688,9 @@
                     let gap = now.saturating_sub(x.judged).min(FULL.0 << FULL.1);
                     *f = (now + (FULL.0 << f.1.min(FULL.1)).max(gap / 2), f.1 + 1);
                 }
-                Status::Error | Status::Reset => x.judge(now, false, false),
-                Status::ConnectFailed => x.judge(now, false, true),
-                Status::Timeout | Status::Cancelled if late => x.judge(now, false, false),
+                Status::Error | Status::Reset => x.judge(now, false, false, usual),
+                Status::ConnectFailed => x.judge(now, false, true, usual),
+                Status::Timeout | Status::Cancelled if late => x.judge(now, false, false, usual),
                 _ => {}
             }
             if x.ejected > now {
@@ -702,6 +705,15 @@
         }
     }
 
+    /// The success that half of the ready servers reach.
+    fn usual_success(&self, now: Micros) -> f64 {
+        let known = self.ready.iter().filter_map(|id| self.servers.get(id));
+        let mut all: Vec<f64> = known.map(|x| x.success(now)).collect();
+        let half = all.len() / 2;
+        all.sort_unstable_by(f64::total_cmp);
+        all.get(half).copied().unwrap_or(1.0)
+    }
+
     /// What an answer says of the customer's use over all gateways, and of a guess's true units.
     fn meter(&mut self, now: Micros, id: RequestId, used: Option<f64>, settled: Option<f64>) {
         let phase = self.dice.roll();
