Proof of not run by the last byte; turned away by class; no stall after a jam

A good read cleared the record, which was kept by plan: \`x.shut.remove(&plan)\`. - Tries refused for want of room with none out (\`bound < FEW\` in \`pressed\`): slow answers lower a part of 12 attempts under 5, and then the mean of the last 1.5 s bounds, made for hundreds of gateways with parts of under one. Ruled out: use of kept connections by age alone (a server has no age of its own), servers that are really full (5 to 12 in hand at most).

Change: the last byte of a request goes out a round trip (1 to 5 ms) after the others. A server begins with that byte, so a reset before it proves that nothing ran: a kept connection is replaced, a new one ends as the new \`Broken\`, an error of its server that did not run. Turned away is remembered by class and plan. The mean bounds only where the part at rest is under five.

Tests of each fail on the code before.

--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 fn raw(bytes: &'static [u8]) -> Box<Act> {
@@ -154,7 +155,6 @@
     assert_eq!(servers[0].ids().len(), 1);
 }
 
-/// A server that closes its connections under the first bytes of a request, and then serves nobody.
 #[test]
 fn a_server_that_refuses_is_proven_not_to_have_run() {
     let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
@@ -187,6 +187,68 @@
     assert_eq!(servers[0].ids().len(), 5);
 }
 
+/// A server that resets each connection at the first bytes after so many requests on it, and notes whole requests.
+fn resets_at_next_request(served: usize) -> (std::net::SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+    let notes = seen.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let notes = notes.clone();
+            std::thread::spawn(move || {
+                let mut writer = stream.try_clone().expect("a clone");
+                let mut reader = std::io::BufReader::new(stream);
+                for _ in 0..served {
+                    let Some(request) = read(&mut reader) else { return };
+                    let probe = request.first.starts_with("GET /-/");
+                    if !probe {
+                        notes.lock().expect("unpoisoned").push(request.id());
+                    }
+                    let bytes = if probe { answer(200, "", "{}") } else { good(&request) };
+                    if writer.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+                // Closed with something unread: the other side sees a reset.
+                let _ = writer.peek(&mut [0]);
+            });
+        }
+    });
+    (address, seen)
+}
+
+#[test]
+fn an_unsafe_request_goes_to_a_new_connection_where_the_kept_one_is_reset_under_it() {
+    let (address, seen) = resets_at_next_request(1);
+    let discovery = Discovery::start(vec![json!({
+        "instanceId": "s-0", "hostPort": address.to_string(), "zone": "a", "cell": 0, "lifecycle": "up",
+        "weight": 1.0, "startedAtMs": 0})]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = gateway.client();
+    let ids: Vec<String> = (0..20).map(|_| id()).collect();
+    for id in &ids {
+        assert_eq!(client.say(&request(id, true)).status(), 200, "not one is lost to a connection");
+    }
+    assert_eq!(*seen.lock().expect("unpoisoned"), ids, "and not one goes twice");
+}
+
+#[test]
+fn a_new_connection_that_is_reset_as_the_request_comes_has_not_run_it() {
+    let (address, _) = resets_at_next_request(0);
+    let server = Server::start(serve());
+    let mut bad = server.entry("s-bad", "up");
+    bad["hostPort"] = json!(address.to_string());
+    let discovery = Discovery::start(vec![bad, server.entry("s-0", "up")]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = gateway.client();
+    let ids: Vec<String> = (0..20).map(|_| id()).collect();
+    for id in &ids {
+        assert_eq!(client.say(&request(id, true)).status(), 200);
+    }
+    assert_eq!(server.ids(), ids);
+}
+
 #[test]
 fn connections_are_kept_and_used_again() {
     let (servers, _discovery, gateway) = stage(vec![serve()]);
--- a/crates/gateway/src/zone_gate.rs
+++ b/crates/gateway/src/zone_gate.rs
@@ -87,7 +87,7 @@
         let (Some(zones), Some(zone)) = (&mut self.zones, self.places.get(&server)) else { return };
         let end = match status {
             Status::Ok | Status::Error | Status::Full => End::Answered,
-            Status::ConnectFailed | Status::Reset | Status::Timeout => End::Dead,
+            Status::ConnectFailed | Status::Broken | Status::Reset | Status::Timeout => End::Dead,
             Status::Cancelled | Status::Moot => End::Nothing,
         };
         zones.ended(now, *zone, server.0, now.saturating_sub(took), end);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -16,6 +16,8 @@
     /// Its stream.
     pub stream: Async<TcpStream>,
     _place: Taken,
+    /// How long it took to stand: about a round trip.
+    pub trip: Duration,
 }
 
 /// Idle connections, and room for all.
@@ -74,8 +76,8 @@
     }
 
     /// A connection that stands, in its place.
-    pub fn link(stream: Async<TcpStream>, place: Taken) -> Link {
-        Link { stream, _place: place }
+    pub fn link(stream: Async<TcpStream>, place: Taken, trip: Duration) -> Link {
+        Link { stream, _place: place, trip }
     }
 
     /// Closes what is idle too long, was closed by its server or has brought something unasked for.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,11 +1,13 @@
 //! Attempts at servers and probes of them, and what their ends prove.
 
-use crate::links::Links;
+use crate::links::{Link, Links};
+use async_io::Timer;
 use frostgauge::{Load, ServerId, Status};
 use frostgauge_gateway::upstream::Ended;
 use frostgauge_net::{exhausted, talk, until, Response, Timed};
 use frostgauge_platform::{answer, request, settings::Site};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
+use futures_lite::AsyncWriteExt;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -13,6 +15,9 @@
 /// Bounds on an answer: content as the protocol has it, heads with room to spare.
 pub const ANSWER: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
 
+/// Least and longest time between a request's other bytes and its last one.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(5));
+
 /// A client's request, as it is passed on.
 #[derive(Debug)]
 pub struct Forward {
@@ -86,22 +91,15 @@
 ) -> Result<Response, Status> {
     let Times { connect, first_byte, deadline } = times;
     if let Some(link) = links.take(server) {
-        let mut written = 0;
-        let talked = until(deadline, talk(&link.stream, request, false, &ANSWER, &mut written)).await;
-        match talked {
-            Timed::Done(Ok((response, keep))) => {
-                if keep {
-                    links.put(server, link);
-                }
-                return Ok(response);
-            }
-            // Closed before a byte of this went out: no attempt was made yet.
-            Timed::Done(Err(_)) if written == 0 => {}
-            end => return Err(proof(matches!(end, Timed::Late), written, request.len())),
+        match converse(links, server, link, request, deadline).await {
+            // A kept connection that its server had dropped: not a whole request went out, so no attempt was made.
+            Err(Status::Broken) => {}
+            end => return end,
         }
     }
     let place = links.place().ok_or(Status::Moot)?;
-    let limit = deadline.min(first_byte).min(Instant::now() + connect);
+    let began = Instant::now();
+    let limit = deadline.min(first_byte).min(began + connect);
     let stream = match until(limit, async_io::Async::<TcpStream>::connect(to)).await {
         Timed::Done(Ok(stream)) => stream,
         Timed::Done(Err(e)) if exhausted(&e) => return Err(Status::Moot),
@@ -114,26 +112,42 @@
         return Err(Status::Moot);
     }
     let _ = stream.get_ref().set_nodelay(true);
-    let link = Links::link(stream, place);
+    converse(links, server, Links::link(stream, place, began.elapsed()), request, deadline).await
+}
+
+/// Writes a request on a connection and reads its answer.
+///
+/// The last byte goes out a round trip after the others. A server begins a request once that byte has arrived, and
+/// one that has dropped the connection resets it at the first. Guards against an unsafe request that is lost to a
+/// connection closed without a word, or reset as the request comes: its end then proves that it has not run.
+async fn converse(
+    links: &Links,
+    server: ServerId,
+    link: Link,
+    request: &[u8],
+    deadline: Instant,
+) -> Result<Response, Status> {
+    let (most, last) = request.split_at(request.len().saturating_sub(1));
     let mut written = 0;
-    match until(deadline, talk(&link.stream, request, false, &ANSWER, &mut written)).await {
+    let talked = until(deadline, async {
+        let mut stream = &link.stream;
+        stream.write_all(most).await?;
+        Timer::after((2 * link.trip).clamp(PAUSE.0, PAUSE.1)).await;
+        talk(&link.stream, last, false, &ANSWER, &mut written).await
+    });
+    match talked.await {
         Timed::Done(Ok((response, keep))) => {
             if keep {
                 links.put(server, link);
             }
             Ok(response)
         }
-        end => Err(proof(matches!(end, Timed::Late), written, request.len())),
-    }
-}
-
-/// What is proven when there is no answer.
-fn proof(late: bool, written: usize, all: usize) -> Status {
-    match (written < all, late) {
-        (true, false) => Status::ConnectFailed,
-        (true, true) => Status::Moot,
-        (false, false) => Status::Reset,
-        (false, true) => Status::Timeout,
+        end => Err(match (written == 0, matches!(end, Timed::Late)) {
+            (true, false) => Status::Broken,
+            (true, true) => Status::Moot,
+            (false, false) => Status::Reset,
+            (false, true) => Status::Timeout,
+        }),
     }
 }
 
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -80,7 +80,7 @@
     let links = Links::new(2, Duration::from_secs(60));
     let put = |links: &Links, server| {
         let (ours, theirs) = pair(&listener);
-        links.put(server, Links::link(ours, links.place().expect("room")));
+        links.put(server, Links::link(ours, links.place().expect("room"), Duration::ZERO));
         theirs
     };
     let kept = put(&links, server);
@@ -111,7 +111,7 @@
     let links = Links::new(2, Duration::from_secs(60));
     let busy = links.place().expect("room");
     let (ours, _theirs) = pair(&listener);
-    links.put(ServerId(1), Links::link(ours, links.place().expect("room")));
+    links.put(ServerId(1), Links::link(ours, links.place().expect("room"), Duration::ZERO));
     let new = links.place().expect("the idle one's place");
     assert_eq!(links.idle(), 0);
     assert!(links.place().is_none(), "all are in use");
--- a/src/api.rs
+++ b/src/api.rs
@@ -245,6 +245,8 @@
     Timeout,
     /// No connection in time.
     ConnectFailed,
+    /// The connection broke before the whole request was written: it never ran.
+    Broken,
     /// The connection broke.
     Reset,
     /// Called off by this gateway.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,7 +55,7 @@
 const HEAL_S: f64 = 5.0; // s; an old verdict fades in this time, so that an unused server is tried again
 const EJECT: (Micros, u32) = (1_000_000, 4); // µs; first ejection; doublings, to 16 s: under a usual outage
 const EJECT_SHARE: f64 = 0.5; // when more than this share looks bad, no verdict is trusted
-const FULL: (Micros, u32) = (100_000, 6); // µs; a server full to a plan is left alone; doublings
+const FULL: (Micros, u32) = (100_000, 6); // µs; a server full to a class and plan is left; doublings
 const REPORT_S: f64 = 1.0; // s; a report's weight falls by e in this time
 const CROSS_ZONE: f64 = 1.1; // a server elsewhere must look this much better
 const LAST_RESORT: f64 = 10.0; // a server that just turned this or any request away comes last
@@ -210,7 +210,7 @@
     judged: Micros,
     ejected: Micros,
     ejections: u32,
-    shut: BTreeMap<usize, (Micros, u32)>,
+    shut: BTreeMap<(usize, usize), (Micros, u32)>,
     credit: f64,
 }
 
@@ -467,7 +467,7 @@
         let (safe, worth) = (class.effect == Effect::Safe, class.worth * price);
         let open = self.gate.open(now, &Attempting { id, safe, worth });
         let ready = &self.ready;
-        let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
+        let (kind, effect) = ((r.class, r.plan), self.settings.classes[r.class].effect);
         let looks = (ready.len() * CHOICES).div_ceil(self.settings.gateways).max(CHOICES);
         let many = looks < ready.len();
         let draws = if many { 4 * looks } else { 0 };
@@ -512,7 +512,7 @@
             if x.entry.zone != s.zone {
                 score *= CROSS_ZONE;
             }
-            let shut = x.shut.get(&plan).is_some_and(|f| f.0 > now);
+            let shut = x.shut.get(&kind).is_some_and(|f| f.0 > now);
             let last = shut || again && r.attempts.iter().any(|a| a.server == server);
             if last {
                 score *= LAST_RESORT;
@@ -540,10 +540,13 @@
         let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
         let ready = self.ready.len() as f64;
         let slow = (ANSWER_OF_AIM / self.strain.max(1e-9)).min(1.0);
-        let floor = slow * FLOOR_HELD * ready / self.settings.gateways as f64;
+        let part = FLOOR_HELD * ready / self.settings.gateways as f64;
+        let floor = slow * part;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S));
         let out = f64::from(self.out_now);
-        if bound < FEW {
+        // Only there: guards against few gateways that refuse all for a second, with nothing out, because slow
+        // answers lowered the bound and the mean still shows the jam that is over.
+        if bound < FEW && part < FEW {
             return self.out_mean >= room * bound || out >= FEW;
         }
         out >= room * bound + bound.sqrt()
@@ -668,9 +671,10 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| a.open) else { return };
         a.open = false;
-        a.may_have_run = !matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
+        let unseen = [Status::Full, Status::ConnectFailed, Status::Broken, Status::Moot];
+        a.may_have_run = !unseen.contains(&status);
         let (server, held, aim) = (a.server, a.held, self.settings.classes[r.class].aim);
-        let (done, plan, late, aim) = (r.done, r.plan, took >= aim, seconds(aim));
+        let (done, kind, late, aim) = (r.done, (r.class, r.plan), took >= aim, seconds(aim));
         self.tally(now);
         self.out_now = self.out_now.saturating_sub(1);
         if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
@@ -686,15 +690,16 @@
                 Status::Ok => {
                     x.item_us += ITEM_GAIN * (took as f64 / (held + 1.0) - x.item_us);
                     x.judge(now, true, false, usual);
-                    x.shut.remove(&plan);
+                    x.shut.remove(&kind);
                 }
-                // Remembered for this plan alone: a server may turn one plan away and have room for others.
+                // Remembered for this class and plan alone: a server may turn one kind of request away and have room
+                // for others, whose good answers then say nothing of it.
                 Status::Full => {
-                    let f = x.shut.entry(plan).or_default();
+                    let f = x.shut.entry(kind).or_default();
                     let gap = now.saturating_sub(x.judged).min(FULL.0 << FULL.1);
                     *f = (now + (FULL.0 << f.1.min(FULL.1)).max(gap / 2), f.1 + 1);
                 }
-                Status::Error | Status::Reset => x.judge(now, false, false, usual),
+                Status::Error | Status::Reset | Status::Broken => x.judge(now, false, false, usual),
                 Status::ConnectFailed => x.judge(now, false, true, usual),
                 Status::Timeout | Status::Cancelled if late => x.judge(now, false, false, usual),
                 _ => {}
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -52,3 +52,32 @@
     let (fast, slow) = (slowed(20 * MS), slowed(500 * MS));
     assert!(slow < fast && slow > 0, "{slow} {fast}");
 }
+
+#[test]
+fn few_gateways_with_nothing_out_refuse_nobody_for_a_jam_that_is_over() {
+    // Ten servers before three gateways: at rest this one's part is over 16 attempts, after slow answers under five.
+    let s = Settings { gateways: 3, classes: vec![class(Effect::Safe)], ..settings() };
+    let mut rig = Rig::new(s, &(1..=10).map(|k| entry(k, 0)).collect::<Vec<_>>());
+    let slow = |rig: &mut Rig, id, server| {
+        let (status, took) = (Status::Ok, 500 * MS);
+        let (used, settled, load) = (None, None, None);
+        let (attempt, closed) = (0, true);
+        rig.event(Event::Outcome { id, attempt, server, status, took, closed, used, settled, load });
+    };
+    let mut out = std::collections::VecDeque::new();
+    // A jam: answers take 500 ms each, and as much is out as may be.
+    for k in 0..200 {
+        rig.run_to(rig.now + 10 * MS);
+        let (id, actions) = rig.request(0, 1_000 + k, 2 * S);
+        out.extend(sent(&actions).map(|server| (rig.now, id, server)));
+        while out.front().is_some_and(|o| o.0 + 500 * MS <= rig.now) {
+            let (_, id, server) = out.pop_front().expect("one");
+            slow(&mut rig, id, server);
+        }
+    }
+    for (_, id, server) in out {
+        slow(&mut rig, id, server);
+    }
+    // Nothing is out now: the next one goes, whatever the mean of the last seconds was.
+    assert!(sent(&rig.request(0, 999, 2 * S).1).is_some());
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -126,3 +126,30 @@
         assert!(mean >= 9.0, "one in {bad}: {in_use:?}");
     }
 }
+
+#[test]
+fn a_server_that_turns_one_class_away_is_left_by_that_class_and_kept_by_the_other() {
+    let classes = vec![class(Effect::Safe), class(Effect::Fragile)];
+    let mut rig = Rig::new(Settings { classes, ..settings() }, &[entry(1, 0), entry(2, 0)]);
+    // Known as the quicker one.
+    for k in 0..50 {
+        rig.play(1_000 + k, |_| Status::Ok);
+    }
+    let (mut full, mut reads) = (0, 0);
+    for k in 0..200 {
+        rig.run_to(rig.now + 20 * MS);
+        let (report, actions) = rig.request(1, 500 + k, 2 * S);
+        let to = sent(&actions).expect("sent");
+        let turned = to == ServerId(1);
+        full += usize::from(turned);
+        let again = sent(&rig.outcome(report, 0, to, if turned { Status::Full } else { Status::Ok }));
+        if let Some(again) = again {
+            assert_eq!(again, ServerId(2));
+            rig.outcome(report, 1, again, Status::Ok);
+        }
+        let tried = rig.play(100 + k, |_| Status::Ok);
+        reads += usize::from(tried == [ServerId(1)]);
+    }
+    assert!((1..=10).contains(&full), "{full} reports went to the server that takes none");
+    assert!(reads >= 150, "{reads} of 200 reads went there");
+}
