A watch waits a second: a lost answer is noticed before it counts as told

Logs of all four gateways: the watch begun at 0.25 s gave up at 12.25 s, changes of 8.25 to 11.01 s came with the next answer; several calls after it were cut. Lines at fault: HOLD_MS and LATE_MS (10 s and 2 s): what there is to tell counts as told 2 s after a call's wait, just when the next call goes. Ruled out: order of versions, time from decision to first byte, descriptors.

Change: a wait of 1 s, 0.4 s of patience, after a failure calls without a wait.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -145,7 +145,7 @@
 }
 
 #[derive(Default)]
-struct Told {
+pub struct Told {
     generation: u64,
     list: Value,
     changes: Vec<(u64, Value)>,
@@ -157,7 +157,7 @@
 /// Discovery's agent.
 pub struct Discovery {
     pub address: SocketAddr,
-    told: Arc<(Mutex<Told>, Condvar)>,
+    pub told: Arc<(Mutex<Told>, Condvar)>,
 }
 
 impl Discovery {
--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use frostgauge_platform::targets::HOLD_MS;
 use serde_json::json;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -317,6 +318,50 @@
     assert_eq!(servers[0].ids().len(), before);
 }
 
+#[test]
+fn a_watch_whose_answer_is_lost_is_asked_again_well_before_it_counts_as_told() {
+    let servers = [Server::start(serve()), Server::start(serve())];
+    let (address, lost) = (free(), Arc::new(AtomicUsize::new(0)));
+    let list = |lifecycle| {
+        let entries = [servers[0].entry("s-0", lifecycle), servers[1].entry("s-1", "up")];
+        json!({"generation": 1, "reset": true, "instances": entries}).to_string()
+    };
+    let (up, drained, count) = (list("up"), list("draining").replace(":1,\"i", ":2,\"i"), lost.clone());
+    let listener = TcpListener::bind(address).expect("a port");
+    std::thread::spawn(move || {
+        // The first call is answered; the watch after it never, nor two calls more; then all are.
+        let mut kept = Vec::new();
+        for (k, stream) in listener.incoming().flatten().enumerate() {
+            let mut reader = std::io::BufReader::new(stream.try_clone().expect("a clone"));
+            let mut stream = stream;
+            if read(&mut reader).is_none() {
+                continue;
+            }
+            if k == 0 {
+                let _ = stream.write_all(&answer(200, "", &up));
+                let _ = read(&mut reader);
+            } else if k > 2 {
+                let _ = stream.write_all(&answer(200, "", &drained));
+                let _ = read(&mut reader);
+            }
+            count.fetch_add(1, Ordering::SeqCst);
+            kept.push(stream);
+        }
+    });
+    let discovery = Discovery { address, ..Discovery::start(vec![]) };
+    let gateway = Gateway::start(&discovery);
+    let began = std::time::Instant::now();
+    wait("asked a fourth time", || lost.load(Ordering::SeqCst) >= 4);
+    // The wait of the lost call, and the two seconds after which what it had to tell counts as told.
+    assert!(began.elapsed() < Duration::from_millis(HOLD_MS + 2_000), "{:?}", began.elapsed());
+    let before = servers[0].ids().len();
+    let mut client = gateway.client();
+    for _ in 0..10 {
+        assert_eq!(client.say(&request(&id(), true)).status(), 200);
+    }
+    assert_eq!(servers[0].ids().len(), before);
+}
+
 /// A server whose connections come up and that says nothing, and one that never answers a call.
 #[test]
 fn a_silent_server_costs_a_request_its_time_and_no_more() {
--- a/crates/platform/src/targets.rs
+++ b/crates/platform/src/targets.rs
@@ -7,12 +7,15 @@
 
 /// Most bytes of an answer: a list of 10,000 servers takes some 2 MB.
 pub const MOST_BYTES: u64 = 8 << 20;
-/// How long one call of a watch may wait.
-pub const HOLD_MS: u64 = 10_000;
+/// How long one call of a watch may wait. A call whose answer is lost on the way looks like one that waits; what it
+/// had to tell counts as told 2 s after its wait, so that is the time for noticing and asking again. Guards against
+/// requests to servers that drain, of which a lost answer told: with a wait of 10 s and 2 s of patience after it, the
+/// first call anew came as the time was over.
+pub const HOLD_MS: u64 = 1_000;
 /// An answer may come this long after a call's wait has ended, milliseconds; then the call counts as failed.
-pub const LATE_MS: u64 = 2_000;
-/// First and longest pause after a failed call, milliseconds.
-const PAUSE_MS: (u64, u64) = (50, 1_000);
+pub const LATE_MS: u64 = 400;
+/// First and longest pause after a failed call, milliseconds: the agent is on this machine.
+const PAUSE_MS: (u64, u64) = (20, 250);
 
 /// Whether a server may be sent to.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -113,6 +116,8 @@
     pub fn next(&self) -> (String, u64) {
         match self.held {
             None => ("/api/targets".to_owned(), LATE_MS),
+            // After a failure it is asked for at once: another lost call is then noticed sooner.
+            Some(held) if self.failures > 0 => (format!("/api/targets?from={held}&hold_ms=0"), LATE_MS),
             Some(held) => (format!("/api/targets?from={held}&hold_ms={HOLD_MS}"), HOLD_MS + LATE_MS),
         }
     }
--- a/crates/platform/tests/values.rs
+++ b/crates/platform/tests/values.rs
@@ -105,9 +105,9 @@
     assert_eq!(watch.answered(&list(41, true)), Some(ListKind::Full));
     assert_eq!(watch.next(), (format!("/api/targets?from=41&hold_ms={HOLD_MS}"), HOLD_MS + LATE_MS));
     assert_eq!(watch.answered(&list(43, false)), Some(ListKind::Delta));
-    // Silence loses nothing: it goes on from what is held, each time after a longer pause, up to a second.
+    // Silence loses nothing: it goes on from what is held, each time after a longer pause, up to a quarter of a second.
     let pauses: Vec<u64> = (0..8).map(|_| watch.failed(false, 0.999)).collect();
-    assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 1_000_000, "{pauses:?}");
+    assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 250_000, "{pauses:?}");
     assert!(watch.next().0.contains("from=43"));
     // An answer that could not be read may have told something.
     watch.failed(true, 0.0);
