Kept connections without a request are bounded: none is left for new ones else

Line at fault: IDLE of 60 s with no bound on kept connections but the seats: clients ask once and keep each, and their side's bound is lower than the seats here. Ruled out: connections closed before their request came, accept, processor, the restarts.

Change: a sixth of the descriptors may be kept without a request; beyond it the one idle longest leaves.

--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -14,6 +14,8 @@
 pub struct Shares {
     /// Connections of clients.
     pub clients: usize,
+    /// Of these, kept without a request.
+    pub idle: usize,
     /// Connections to servers.
     pub servers: usize,
     /// Bytes of content held for clients in all.
@@ -21,11 +23,12 @@
 }
 
 impl Shares {
-    /// Half of what is left to each side; a quarter of the memory for clients' content.
+    /// Half of what is left to each side; a quarter of the memory for clients' content. Usual clients hold a third of
+    /// the descriptors at most: half of that may be idle, so that there is room for new ones on their side too.
     pub fn of(limits: &Limits) -> Shares {
         let each = limits.sockets.saturating_sub(OWN).max(2) / 2;
         let bytes = usize::try_from(limits.memory_mb << 20).unwrap_or(usize::MAX) / 4;
-        Shares { clients: each, servers: each, bytes }
+        Shares { clients: each, idle: limits.sockets / 6, servers: each, bytes }
     }
 }
 
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -118,7 +118,7 @@
     let idle = if site.idle > 0 { Duration::from_micros(site.idle) * 3 / 4 } else { IDLE };
     let front = Front {
         site: site.clone(),
-        seats: Seats::new(shares.clients),
+        seats: Seats::new(shares.clients, shares.idle),
         bytes: crate::budget::Stock::new(shares.bytes),
         ready: AtomicBool::new(false),
         open: Mutex::default(),
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -1,9 +1,13 @@
 //! Seats for clients' connections. Where all are taken, a connection without an open request gives up its own for one
 //! that arrives: one that never asked first, then the one that has been idle longest. Guards against hundreds of
 //! connections that say nothing, or that asked once and stay, in whose place usual clients would not be served.
+//!
+//! Kept connections without a request are bounded by themselves, since the clients' side has a bound of its own that
+//! is not told: guards against clients that ask once and keep each connection for good, until none is left there for a
+//! new one while there still are seats here.
 
 use async_channel::{Receiver, Sender};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 #[derive(Debug, Default)]
@@ -12,8 +16,8 @@
     next: u64,
     /// Who may be asked to leave, in that order: never asked anything or have, then the order of their waiting.
     idle: BTreeMap<(bool, u64), Sender<()>>,
-    /// Connections asked to leave that have not left.
-    leaving: usize,
+    /// Those of them asked for the sake of one that comes, not yet gone.
+    leaving: BTreeSet<(bool, u64)>,
 }
 
 /// All seats.
@@ -21,6 +25,7 @@
 pub struct Seats {
     state: Arc<Mutex<State>>,
     most: usize,
+    most_idle: usize,
     freed: (Sender<()>, Receiver<()>),
 }
 
@@ -58,9 +63,9 @@
 impl Drop for Idle<'_> {
     fn drop(&mut self) {
         let mut state = self.seat.seats.lock();
-        if state.idle.remove(&self.key).is_none() {
-            // It was asked to leave; where a request came first it stays, and another may be asked.
-            state.leaving = state.leaving.saturating_sub(1);
+        state.idle.remove(&self.key);
+        if state.leaving.remove(&self.key) {
+            // Where a request came first it stays, and another may be asked.
             drop(state);
             let _ = self.seat.seats.freed.0.try_send(());
         }
@@ -75,6 +80,12 @@
         state.next += 1;
         let key = (used, state.next);
         state.idle.insert(key, sender);
+        let kept = state.idle.range((true, 0)..).count();
+        if kept > self.seats.most_idle {
+            if let Some(oldest) = state.idle.range((true, 0)..).next().map(|(key, _)| *key) {
+                let _ = state.idle.remove(&oldest).map(|asked| asked.try_send(()));
+            }
+        }
         drop(state);
         // Someone may wait for just this: a connection that could leave.
         let _ = self.seats.freed.0.try_send(());
@@ -83,9 +94,9 @@
 }
 
 impl Seats {
-    /// So many.
-    pub fn new(most: usize) -> Seats {
-        Seats { state: Arc::default(), most: most.max(1), freed: async_channel::bounded(1) }
+    /// So many; and so many of them for kept connections without a request.
+    pub fn new(most: usize, most_idle: usize) -> Seats {
+        Seats { state: Arc::default(), most: most.max(1), most_idle, freed: async_channel::bounded(1) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -107,10 +118,10 @@
                     return Seat { seats: self.clone() };
                 }
                 // One leaves for one that comes.
-                if state.leaving == 0 {
-                    if let Some((_, sender)) = state.idle.pop_first() {
+                if state.leaving.is_empty() {
+                    if let Some((key, sender)) = state.idle.pop_first() {
                         if sender.try_send(()).is_ok() {
-                            state.leaving += 1;
+                            state.leaving.insert(key);
                         }
                     }
                 }
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -36,7 +36,7 @@
 #[test]
 fn who_never_asked_leaves_first_then_who_is_idle_longest() {
     block_on(async {
-        let seats = Seats::new(3);
+        let seats = Seats::new(3, 3);
         let (one, two, three) = (seats.take().await, seats.take().await, seats.take().await);
         let (used, silent, busy) = (one.idle(true), two.idle(false), three);
         let mut fourth = Box::pin(seats.take());
@@ -61,6 +61,20 @@
     });
 }
 
+#[test]
+fn kept_connections_without_a_request_are_bounded_by_themselves() {
+    block_on(async {
+        let seats = Seats::new(100, 2);
+        let all = [seats.take().await, seats.take().await, seats.take().await, seats.take().await];
+        let (silent, one, two) = (all[0].idle(false), all[1].idle(true), all[2].idle(true));
+        assert!(poll_once(Box::pin(one.asked())).await.is_none());
+        let _three = all[3].idle(true);
+        assert!(poll_once(Box::pin(one.asked())).await.is_some(), "idle longest");
+        assert!(poll_once(Box::pin(two.asked())).await.is_none());
+        assert!(poll_once(Box::pin(silent.asked())).await.is_none(), "it may be about to ask");
+    });
+}
+
 fn pair(listener: &TcpListener) -> (Async<TcpStream>, TcpStream) {
     let ours = TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
     let theirs = listener.accept().expect("accepted").0;
