The table of servers by itself, with its bound; customers seen once are forgotten

Change: what the platform's outside knows of servers is `node/src/table.rs`; the library tells how many customers it keeps. Tests: 10,000 servers and 100,000 customers seen once leave nothing behind. No decision changed.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`daemon`]: start, signals, end.
 //! - [`front`]: clients; [`seats`]: who of them may stay.
-//! - [`outside`]: what lies around the engine; [`upstream`]: attempts and probes; [`links`]: connections to servers.
+//! - [`outside`]: what lies around the engine; [`table`]: the servers known; [`upstream`]: attempts and probes; [`links`]: connections to servers.
 //! - [`discovery`]: the list of servers; [`peers`]: datagrams between gateways.
 
 pub mod budget;
@@ -14,4 +14,5 @@
 pub mod outside;
 pub mod peers;
 pub mod seats;
+pub mod table;
 pub mod upstream;
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -4,6 +4,7 @@
 use crate::links::Links;
 use crate::peers::Peers;
 use crate::seats::Seats;
+use crate::table::Table;
 use crate::upstream::{self, Forward, Times};
 use async_executor::{Executor, Task};
 use frostgauge::{ListKind, ServerId, Status};
@@ -16,8 +17,7 @@
 use frostgauge_platform::settings::Site;
 use frostgauge_platform::targets::Target;
 use frostgauge_settings::Insurer;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -81,20 +81,12 @@
     }
 }
 
-struct Known {
-    address: SocketAddr,
-    started_ms: u64,
-    listed: bool,
-}
-
 /// The platform around an engine.
 pub struct Platform {
     handle: Handle,
     executor: Arc<Executor<'static>>,
     links: Arc<Links>,
-    servers: BTreeMap<ServerId, Known>,
-    /// Attempts out, by server.
-    out: BTreeMap<ServerId, usize>,
+    servers: Table,
     peers: Option<Peers>,
     scope: Arc<str>,
     swept: Micros,
@@ -128,8 +120,7 @@
         handle: handle.clone(),
         executor,
         links: Arc::new(Links::new(shares.servers, idle)),
-        servers: BTreeMap::new(),
-        out: BTreeMap::new(),
+        servers: Table::default(),
         peers,
         scope: Arc::from(""),
         swept: now,
@@ -148,35 +139,6 @@
             deadline: now + Duration::from_micros(timeout),
         }
     }
-
-    fn listed(&mut self, kind: ListKind, targets: &[Target]) {
-        if kind != ListKind::Delta {
-            for known in self.servers.values_mut() {
-                known.listed = false;
-            }
-        }
-        let site = &self.handle.shared.site;
-        for target in targets {
-            let (server, gone) = (target.server(), target.entry(site).state == frostgauge::State::Gone);
-            let Some(address) = target.address.filter(|_| !gone) else {
-                self.servers.entry(server).and_modify(|known| known.listed = false);
-                continue;
-            };
-            let new = Known { address, started_ms: target.started_ms, listed: true };
-            let old = self.servers.insert(server, new);
-            // Connections of an earlier start, or to where it was, are of no use.
-            if old.is_some_and(|o| o.address != address || o.started_ms != target.started_ms) {
-                self.links.forget(server);
-            }
-        }
-        let (links, out) = (&self.links, &self.out);
-        self.servers.retain(|server, known| {
-            if !known.listed {
-                links.forget(*server);
-            }
-            known.listed || out.contains_key(server)
-        });
-    }
 }
 
 impl Outside for Platform {
@@ -205,8 +167,10 @@
     fn news(&mut self, now: Micros, news: News, inside: Inside<'_>, out: &mut Vec<Command>) {
         match news {
             News::Listed(kind, targets) => {
-                self.listed(kind, &targets);
                 let site = &self.handle.shared.site;
+                for server in self.servers.listed(site, kind, &targets) {
+                    self.links.forget(server);
+                }
                 let entries = targets.iter().map(|t| t.entry(site)).collect();
                 inside.core.listed(now, kind, entries, out);
                 self.handle.shared.ready.store(true, Ordering::Relaxed);
@@ -217,15 +181,15 @@
     fn start(&mut self, attempt: Attempt, call: Option<&Call>) -> Task<()> {
         let Attempt { ticket, attempt, server, timeout, .. } = attempt;
         let inbox = self.handle.inbox();
-        *self.out.entry(server).or_default() += 1;
-        let Some((known, call)) = self.servers.get(&server).zip(call) else {
+        self.servers.sent(server);
+        let Some((to, call)) = self.servers.address(server).zip(call) else {
             // Neither can be missing while the core sends; if one were, nothing has run.
             let ended = Ended { status: Status::Moot, response: None, used: None, load: None };
             return self.executor.spawn(async move {
                 let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
             });
         };
-        let (to, times) = (known.address, self.times(timeout));
+        let times = self.times(timeout);
         let bytes = call.forward.bytes(to, Duration::from_micros(timeout));
         let (links, front) = (self.links.clone(), self.handle.shared.clone());
         self.executor.spawn(async move {
@@ -235,18 +199,13 @@
     }
 
     fn over(&mut self, server: ServerId) {
-        if let Some(out) = self.out.get_mut(&server) {
-            *out -= 1;
-            if *out == 0 {
-                self.out.remove(&server);
-            }
-        }
+        self.servers.over(server);
     }
 
     fn command(&mut self, _: Micros, command: Command) -> Option<Input> {
         match command {
             Command::Probe { server } => {
-                let to = self.servers.get(&server)?.address;
+                let to = self.servers.address(server)?;
                 let (inbox, links, front) =
                     (self.handle.inbox(), self.links.clone(), self.handle.shared.clone());
                 let mut times = self.times(0);
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -1,12 +1,14 @@
 //! Seats, links and stocks: what is bounded stays bounded.
 
 use async_io::{block_on, Async};
-use frostgauge::ServerId;
+use frostgauge::{ListKind, ServerId};
 use frostgauge_net::{until, Timed};
 use frostgauge_node::budget::{Shares, Stock};
 use frostgauge_node::links::Links;
 use frostgauge_node::seats::Seats;
+use frostgauge_node::table::Table;
 use frostgauge_platform::config::Limits;
+use frostgauge_platform::targets::{Lifecycle, Target};
 use futures_lite::future::poll_once;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -132,3 +134,55 @@
     drop((busy, new));
     assert!(links.place().is_some());
 }
+
+fn target(k: u32, lifecycle: Lifecycle) -> Target {
+    let address = Some(std::net::SocketAddr::from(([127, 0, (k >> 8) as u8, k as u8], 8000)));
+    let (zone, weight) = (String::new(), 1.0);
+    Target { id: format!("s-{k}"), address, zone, cell: 0, lifecycle, weight, started_ms: 0 }
+}
+
+#[test]
+fn ten_thousand_servers_seen_once_leave_nothing_behind() {
+    let site = frostgauge_platform::settings::read(&settings()).expect("good settings");
+    let mut table = Table::default();
+    for k in 0..10_000_u32 {
+        let gone = k.checked_sub(10).map(|k| target(k, Lifecycle::Removed));
+        let changes: Vec<Target> = std::iter::once(target(k, Lifecycle::Up)).chain(gone).collect();
+        let forget = table.listed(&site, ListKind::Delta, &changes);
+        assert_eq!(forget.is_empty(), k < 10);
+        table.sent(target(k, Lifecycle::Up).server());
+        // Attempts end long after their servers have gone.
+        if let Some(k) = k.checked_sub(25) {
+            table.over(target(k, Lifecycle::Up).server());
+        }
+        assert!(table.len() <= 25, "{}", table.len());
+    }
+    for k in 9_975..10_000_u32 {
+        table.over(target(k, Lifecycle::Up).server());
+    }
+    assert_eq!(table.len(), 10);
+    table.listed(&site, ListKind::Full, &[]);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_server_that_started_anew_or_moved_keeps_no_connection() {
+    let site = frostgauge_platform::settings::read(&settings()).expect("good settings");
+    let (mut table, one) = (Table::default(), target(1, Lifecycle::Up));
+    assert!(table.listed(&site, ListKind::Full, std::slice::from_ref(&one)).is_empty());
+    assert!(table.listed(&site, ListKind::Full, std::slice::from_ref(&one)).is_empty());
+    let anew = Target { started_ms: 7, ..one.clone() };
+    assert_eq!(table.listed(&site, ListKind::Delta, std::slice::from_ref(&anew)), [one.server()]);
+    let moved = Target { address: target(2, Lifecycle::Up).address, ..anew };
+    assert_eq!(table.listed(&site, ListKind::Delta, std::slice::from_ref(&moved)), [one.server()]);
+    assert_eq!(table.address(one.server()), moved.address);
+}
+
+fn settings() -> serde_json::Value {
+    serde_json::json!({
+        "az": 0, "me": 0, "siblings": 1, "tickUs": 2000, "zones": ["a"],
+        "classes": [{"aimUs": 1, "deadlineUs": 1, "lateWorth": 0, "name": "c", "semantics": "retryable", "value": 1}],
+        "plans": [], "familyInfo": {}, "limits": {"attemptsCap": 1, "maxRetryAfterUs": 0}, "stats": {},
+        "rules": {"coldFrom": 0.1, "fallMultiple": 3, "graceToAnswerUs": 0, "tipAfterUs": 1, "warmAfterUs": 1},
+    })
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -969,6 +969,11 @@
         out.push(Action::Timer { at: now + ROUND, timer: TURN });
     }
 
+    /// Customers whose state is kept.
+    pub fn customers(&self) -> usize {
+        self.customers.len()
+    }
+
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.begun, true) {
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -123,3 +123,19 @@
         assert!(at < began + 65 * MS, "held for {} of 130 ms", (at - began) / MS);
     }
 }
+
+#[test]
+fn a_hundred_thousand_customers_seen_once_are_forgotten() {
+    let mut rig = rig(settings());
+    for k in 0..100_000 {
+        rig.run_to(rig.now + MS);
+        let (id, actions) = rig.request(0, 1_000 + k, 100 * MS);
+        if let Some(server) = sent(&actions) {
+            rig.outcome(id, 0, server, Status::Ok);
+        }
+    }
+    // Their stores are full again within some seconds; those seen before that are gone already.
+    assert!(rig.gateway.customers() < 10_000, "{}", rig.gateway.customers());
+    rig.run_to(rig.now + 10 * S);
+    assert_eq!(rig.gateway.customers(), 0);
+}
