--- a/src/choice.rs
+++ b/src/choice.rs
@@ -234,9 +234,9 @@
         1.0 - (1.0 - self.ok) * fade(now.saturating_sub(self.judged), HEAL_S)
     }
 
-    /// Books one outcome; a server that keeps failing is ejected for a time that doubles. It is judged by what is
-    /// usual among the ready ones. Guards against errors that come alike at all (connections reset on the way):
-    /// by a fixed score half of the healthy servers were out, and the rest overloaded.
+    /// Books one outcome; a server that keeps failing is ejected for a time that doubles. It is judged by
+    /// what is usual among the ready ones. Guards against errors that come alike at all (connections reset
+    /// on the way): by a fixed score half of the healthy servers were out, and the rest overloaded.
     fn judge(&mut self, now: Micros, good: bool, dead: bool, usual: f64) {
         self.ok = self.success(now);
         // A server seen rarely is judged by the little that is seen, and for about as long as that lasts.
@@ -399,8 +399,8 @@
     /// The ordinary path: covered requests go at once, others wait their delay. Where the counter is asked
     /// first, the request waits for its word, no longer than any hold.
     fn arrive(&mut self, now: Micros, id: RequestId, r: Request, out: Out) {
-        // Guards against later tries with little time, held for most of it and then refused: an impatient client
-        // is owed its refusal while it can still go elsewhere.
+        // Guards against later tries with little time, held for most of it and then refused: an impatient
+        // client is owed its refusal while it can still go elsewhere.
         let own = (r.deadline - now) as f64 * HOLD_OF_TRY;
         let cap = (self.settings.classes[r.class].aim as f64 * HOLD_OF_AIM).min(own);
         let Some(news) = self.customers.get(&r.customer).map(|c| self.news(now, c)) else { return };
@@ -544,8 +544,8 @@
         let floor = slow * part;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S));
         let out = f64::from(self.out_now);
-        // Only there: guards against few gateways that refuse all for a second, with nothing out, because slow
-        // answers lowered the bound and the mean still shows the jam that is over.
+        // Only there: guards against few gateways that refuse all for a second, with nothing out, because
+        // slow answers lowered the bound and the mean still shows the jam that is over.
         if bound < FEW && part < FEW {
             return self.out_mean >= room * bound || out >= FEW;
         }
@@ -677,8 +677,9 @@
         let (done, kind, late, aim) = (r.done, (r.class, r.plan), took >= aim, seconds(aim));
         self.tally(now);
         self.out_now = self.out_now.saturating_sub(1);
-        // No answer at all says that it would have been late, not how late. Guards against a few connections that fell
-        // silent: each counted as four aims, and all was refused as in a jam while answers took a tenth of one.
+        // No answer at all says that it would have been late, not how late. Guards against a few
+        // connections that fell silent: each counted as four aims, and all was refused as in a jam while
+        // answers took a tenth of one.
         let told = seconds(took) / aim;
         let told = if status == Status::Ok { told } else { told.min(1.0) };
         if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
@@ -696,8 +697,8 @@
                     x.judge(now, true, false, usual);
                     x.shut.remove(&kind);
                 }
-                // Remembered for this class and plan alone: a server may turn one kind of request away and have room
-                // for others, whose good answers then say nothing of it.
+                // Remembered for this class and plan alone: a server may turn one kind of request away and
+                // have room for others, whose good answers then say nothing of it.
                 Status::Full => {
                     let f = x.shut.entry(kind).or_default();
                     let gap = now.saturating_sub(x.judged).min(FULL.0 << FULL.1);
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -107,7 +107,7 @@
         for (id, server) in out {
             // A fixed sequence without a pattern that servers could fall in step with.
             ends = ends.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            let status = if (ends >> 33) % bad == 0 { Status::Error } else { Status::Ok };
+            let status = if (ends >> 33).is_multiple_of(bad) { Status::Error } else { Status::Ok };
             let (mut attempt, mut next) = (0, sent(&rig.outcome(id, 0, server, status)));
             while let Some(server) = next {
                 attempt += 1;
