--- a/crates/frostgauged/tests/life.rs
+++ b/crates/frostgauged/tests/life.rs
@@ -193,3 +193,25 @@
     assert!(n <= 256 && from.to_string() == to);
     assert_eq!(gateway.client().say(&request(&id(), true)).status(), 200);
 }
+
+#[test]
+fn requests_held_at_a_planned_end_are_answered() {
+    let (_servers, _discovery, mut gateway) = stage(vec![serve()]);
+    let small = || String::from_utf8(request(&id(), true)).expect("text").replace("wide", "small");
+    // Far beyond its quota for over two of the pacer's intervals, the customer's requests are held for a while.
+    let mut client = gateway.client();
+    let began = std::time::Instant::now();
+    while began.elapsed() < Duration::from_millis(1_200) {
+        assert!(matches!(client.say(small().as_bytes()).status(), 200 | 429));
+    }
+    let mut held: Vec<Client> = (0..10).map(|_| gateway.client()).collect();
+    for client in &mut held {
+        client.write(small().as_bytes());
+    }
+    gateway.signal(Signal::TERM);
+    for client in &mut held {
+        assert_eq!(client.answer().expect("an answer").status(), 429);
+        client.end();
+    }
+    assert!(gateway.ended().success());
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use frostgauge_gateway::core::{Ask, Command, Core, Input};
 use frostgauge_gateway::reply::Final;
 use frostgauge_identity::{Answer, Grant};
-use frostgauge_settings::{load, Loaded};
+use frostgauge_settings::{load, Insurer, Loaded};
 use std::collections::{BTreeMap, BTreeSet};
 use std::os::unix::fs::PermissionsExt;
 use std::sync::OnceLock;
@@ -153,6 +153,16 @@
         self.next
     }
 
+    /// A call whose caller is known with it, as on the platform.
+    pub fn known(&mut self, class: usize, caller: Insurer) -> u64 {
+        self.next += 1;
+        let (units, scope, repeat) = (1.0, "".into(), false);
+        let (ticket, token, arrived, patience) = (self.next, [0; 16], self.now, 1_500 * MS);
+        let ask = Ask { ticket, token, class, units, scope, arrived, patience, repeat };
+        self.input(Input::Known { ask, caller });
+        self.next
+    }
+
     /// Answers the question about a token.
     pub fn verdict(&mut self, token: u8, subject: Option<&str>) {
         let flight = *self.flights.iter().find(|f| *f.1 == [token; 16]).expect("a question").0;
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -338,3 +338,33 @@
         }
     }
 }
+
+#[test]
+fn a_caller_known_with_its_request_needs_no_verdict_and_gets_one_answer_or_leaves_with_none() {
+    let mut host = Host::with(&settings());
+    let vale = settings().insurers["vale"];
+    let first = host.known(REPORT, vale);
+    assert!(host.flights.is_empty(), "nobody is asked about it");
+    assert_eq!(host.sends.last().map(|s| s.0), Some(first));
+    host.end(first, 0, Status::Ok);
+    assert_eq!(host.answer(first), Some(None));
+    // Beyond its quota for a while, the insurer's requests are held.
+    for _ in 0..3 {
+        for _ in 0..20 {
+            host.known(READ, vale);
+        }
+        host.pass(500 * MS);
+    }
+    let sent = host.sends.len();
+    let asked: Vec<u64> = (0..20).map(|_| host.known(REPORT, vale)).collect();
+    let open = |t: &u64| !host.answers.contains_key(t) && host.sends.iter().all(|s| s.0 != *t);
+    let held: Vec<u64> = asked.into_iter().filter(open).collect();
+    assert!(held.len() >= 10, "{} of 20 held", held.len());
+    for ticket in &held {
+        host.input(Input::Left { ticket: *ticket });
+    }
+    let others = host.sends.len() - sent;
+    host.pass(3 * S);
+    assert_eq!(host.sends.len(), sent + others, "who left while held is not sent");
+    assert!(held.iter().all(|t| !host.answers.contains_key(t)), "and gets no answer");
+}
