Tests of the platform: a loopback address of its own for each program

Seen once in a run of all tests: a planned end waited in vain for a request at its server. Likely another test's server on the port that was looked up as free, which answers /-/ready too; not proven. An address of its own rules that out.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -255,9 +255,12 @@
     })
 }
 
-/// A port that was free a moment ago.
+/// An address that nothing else here binds: a loopback address of its own. Guards against another test's server that
+/// is given the port between this look and the program's start, and then answers in the program's place.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    let (n, pid) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let ip = std::net::Ipv4Addr::new(127, 1 + (pid % 250) as u8, (n / 250) as u8, 1 + (n % 250) as u8);
+    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).expect("a port")
 }
 
 /// The program, started on the platform.
@@ -312,7 +315,7 @@
         let (address, folder) = (free(), folder());
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let peer_listen =
-            UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port").to_string();
+            UdpSocket::bind((free().ip(), 0)).and_then(|s| s.local_addr()).expect("a port").to_string();
         let peers = json!([peer_listen, peer.local_addr().expect("an address").to_string()]);
         let config = json!({
             "name": "n0", "listen": address.to_string(), "discovery": discovery.address.to_string(),
