Test: a client that leaves while its answer is written holds up nobody

Need: the one hard case of the platform's clients without a test. Change: twenty clients read a byte of 60 KB and go; a usual one is served after them, and each request ran once.

--- a/crates/frostgauged/tests/clients.rs
+++ b/crates/frostgauged/tests/clients.rs
@@ -287,3 +287,23 @@
         assert_eq!(client.say(&request(&id(), true)).status(), 200);
     }
 }
+
+#[test]
+fn a_client_that_leaves_while_its_answer_is_written_holds_up_nobody() {
+    let (servers, _discovery, gateway) = stage(vec![Box::new(|r, s| {
+        let body = format!("{:>60000}", r.id());
+        s.write_all(&answer(200, "", &body)).is_ok()
+    })]);
+    for _ in 0..20 {
+        let mut leaving = gateway.client();
+        leaving.write(&request(&id(), true));
+        // The first byte of the answer is here, the rest is on its way.
+        use std::io::Read;
+        leaving.0.get_mut().read_exact(&mut [0]).expect("a byte");
+        leaving.0.get_ref().shutdown(Shutdown::Both).expect("closed");
+    }
+    let before = servers[0].ids().len();
+    assert_eq!(before, 20, "each ran once");
+    assert_eq!(gateway.client().say(&request(&id(), true)).status(), 200);
+    assert_eq!(servers[0].ids().len(), before + 1);
+}
