An agent that answers with changes nobody can use is asked again after a pause

Need: read over once more, the watch had a loop without a pause: an agent that answers the call for the whole list with changes (`reset: false`) was asked again at once, for ever, on the core that requests need. Change: such an answer is a failed call, unreadable, with its back-off; a test. Two things written again are gone: the dice of the pauses come from rand_chacha as in `identity`, the gateway's own answers are written by `proto`.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -14,6 +14,8 @@
 use frostgauge_net::{listen, or_closing, Closing};
 use frostgauge_platform::config::{Config, MOST_BYTES};
 use futures_lite::StreamExt;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -87,15 +89,8 @@
         executor.spawn(datagrams.run(handle.inbox())).detach();
     }
     let (moves, moved) = async_channel::bounded(1);
-    let seed = config.seed;
-    let mut state = seed | 1;
-    let roll = move || {
-        // Xorshift: only sets gateways at odds.
-        state ^= state << 13;
-        state ^= state >> 7;
-        state ^= state << 17;
-        (state >> 11) as f64 / (1u64 << 53) as f64
-    };
+    let mut dice = ChaCha8Rng::seed_from_u64(config.seed);
+    let roll = move || dice.random::<f64>();
     executor.spawn(discovery::follow(config.discovery, moved, handle.inbox(), roll)).detach();
     let (close, closing) = Closing::new();
     let (stop, stopped) = Closing::new();
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -41,16 +41,18 @@
                 continue;
             }
         };
-        match answer {
-            Ok(list) => {
+        let kind = answer.and_then(|list| match watch.answered(&list) {
+            Some(kind) => Ok((kind, list)),
+            None => Err(Failed::Unreadable("changes to a list that is not held".to_owned())),
+        });
+        match kind {
+            Ok((kind, list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!(generation = list.generation, "discovery answers again");
                 }
-                if let Some(kind) = watch.answered(&list) {
-                    let news = News::Listed(kind, list.instances);
-                    if inbox.send(Message::News(news)).await.is_err() {
-                        return;
-                    }
+                let news = News::Listed(kind, list.instances);
+                if inbox.send(Message::News(news)).await.is_err() {
+                    return;
                 }
             }
             Err(failed) => {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -10,11 +10,10 @@
 use frostgauge_net::{or_closing, read_some, until, Closing, Timed};
 use frostgauge_platform::request::{self, Bad};
 use frostgauge_proto::http::{
-    reason, write_response, Body, BodyReader, Framing, Head, HeadReader, HttpError, Limits,
+    write_response, Body, BodyReader, Framing, Head, HeadReader, HttpError, Limits,
 };
 use futures_lite::future::or;
 use futures_lite::AsyncWriteExt;
-use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -86,15 +85,10 @@
 
 /// An answer of the gateway's own.
 fn own(out: &mut Vec<u8>, status: u16, retry_after_us: Option<u64>, close: bool, text: &str) {
-    let _ = write!(out, "HTTP/1.1 {status} {}\r\ncontent-length: {}\r\n", reason(status), text.len());
-    if let Some(wait) = retry_after_us.filter(|w| *w > 0) {
-        let _ = write!(out, "retry-after: {:.3}\r\n", wait as f64 / 1e6);
-    }
-    if close {
-        out.extend_from_slice(b"connection: close\r\n");
-    }
-    out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(text.as_bytes());
+    let wait = retry_after_us.filter(|w| *w > 0).map(|w| format!("{:.3}", w as f64 / 1e6));
+    let wait = wait.as_ref().map(|w| ("retry-after", w.as_bytes()));
+    let end = close.then_some(("connection", &b"close"[..]));
+    write_response(out, status, wait.into_iter().chain(end), Body::Whole(text.as_bytes()));
 }
 
 /// The library's final answer in the platform's words: 429 and 503 say that nothing has run or that trying again
--- a/crates/platform/src/targets.rs
+++ b/crates/platform/src/targets.rs
@@ -122,14 +122,14 @@
         }
     }
 
-    /// Takes an answer; the kind of list it is. `None` for changes that do not follow what is held: the whole list
-    /// is asked for next.
+    /// Takes an answer; the kind of list it is. `None` for changes that do not follow what is held, which the caller
+    /// treats as [`Watch::failed`] and unreadable: guards against an agent that goes on answering so at once, and
+    /// would be asked again and again without a pause.
     pub fn answered(&mut self, list: &List) -> Option<ListKind> {
-        self.failures = 0;
         if !list.reset && self.held.is_none_or(|held| list.generation < held) {
-            self.held = None;
             return None;
         }
+        self.failures = 0;
         self.held = Some(list.generation);
         Some(if list.reset { ListKind::Full } else { ListKind::Delta })
     }
--- a/crates/platform/tests/values.rs
+++ b/crates/platform/tests/values.rs
@@ -114,8 +114,11 @@
     assert_eq!(watch.next().0, "/api/targets");
     // Changes to a list that is not held are of no use.
     assert_eq!(watch.answered(&list(44, false)), None);
+    assert!(watch.failed(true, 0.0) > 0, "asked again after a pause, however often it is answered so");
     assert_eq!(watch.answered(&list(44, true)), Some(ListKind::Full));
     assert_eq!(watch.answered(&list(3, false)), None, "an agent that began anew");
+    watch.failed(true, 0.0);
+    assert_eq!(watch.next().0, "/api/targets");
     assert_eq!(watch.answered(&list(3, true)), Some(ListKind::Full));
     watch.moved();
     assert_eq!(watch.next().0, "/api/targets");
