The host's decisions on the platform are a package of their own, free of I/O

Need: read over once more, decisions and tuned values stood among sockets and in the protocol's values: who of the clients leaves (node/seats), how descriptors are shared (node/budget), when the list is asked for again (platform/targets), times of connections and of the last byte (node). They could be tested through sockets or async tasks only. Change: crates/hosting holds them, time and chance handed in; node carries them out. No value changed.

--- /dev/null
+++ b/crates/hosting/tests/hosting.rs
@@ -0,0 +1,85 @@
+//! The host's decisions, by hand and against whatever order things come in.
+
+use frostgauge::ListKind;
+use frostgauge_hosting::seating::{Arrival, Seating};
+use frostgauge_hosting::shares::Shares;
+use frostgauge_hosting::times::{last_byte, Links};
+use frostgauge_hosting::watch::{Watch, HOLD_MS, LATE_MS};
+use std::time::Duration;
+
+#[test]
+fn descriptors_are_shared_out_with_room_for_the_gateways_own() {
+    for sockets in [64, 256, 1024] {
+        let shares = Shares::of(sockets, 32);
+        assert_eq!(shares.clients, shares.servers);
+        assert!(shares.clients + shares.servers + 20 <= sockets);
+        // Requests of usual clients hold a third at most.
+        assert!(sockets < 256 || shares.clients > sockets / 3);
+    }
+}
+
+#[test]
+fn who_never_asked_leaves_first_then_who_is_idle_longest() {
+    let mut seating = Seating::new(3, 3);
+    assert!((0..3).all(|_| seating.arrive() == Arrival::Seated));
+    let (used, silent) = (seating.waits(true).0, seating.waits(false).0);
+    assert_eq!(seating.arrive(), Arrival::Ask(silent));
+    assert_eq!(seating.arrive(), Arrival::Wait, "one leaves for one that comes");
+    assert!(seating.waits_no_longer(silent));
+    seating.left();
+    assert_eq!(seating.arrive(), Arrival::Seated);
+    // A request came before the one asked has left: it stays, and another may be asked.
+    assert_eq!(seating.arrive(), Arrival::Ask(used));
+    let again = seating.waits(true).0;
+    assert!(seating.waits_no_longer(used));
+    assert_eq!(seating.arrive(), Arrival::Ask(again));
+    assert_eq!(seating.taken(), 3);
+}
+
+#[test]
+fn kept_connections_without_a_request_are_bounded_by_themselves() {
+    let mut seating = Seating::new(100, 2);
+    let (silent, one, two) = (seating.waits(false), seating.waits(true), seating.waits(true));
+    assert_eq!((silent.1, one.1, two.1), (None, None, None), "who never asked may be about to");
+    assert_eq!(seating.waits(true).1, Some(one.0), "idle longest");
+    assert!(!seating.waits_no_longer(one.0), "it makes room for nobody in particular");
+    assert_eq!(seating.waits(true).1, Some(two.0));
+}
+
+#[test]
+fn times_of_links_stay_inside_those_of_the_settings() {
+    let links = Links::of(250_000, 15_000_000, 300_000);
+    assert!(links.idle < Duration::from_secs(15) && links.first_byte <= Duration::from_millis(300));
+    let untold = Links::of(0, 0, 0);
+    assert!(untold.idle > Duration::ZERO && untold.first_byte >= untold.connect);
+    for trip in [0, 700, 40_000] {
+        let pause = last_byte(Duration::from_micros(trip));
+        assert!((Duration::from_millis(1)..=Duration::from_millis(5)).contains(&pause));
+    }
+}
+
+#[test]
+fn a_watch_follows_without_gaps() {
+    let mut watch = Watch::default();
+    assert_eq!(watch.next(), (None, LATE_MS));
+    assert_eq!(watch.answered(true, 41), Some(ListKind::Full));
+    assert_eq!(watch.next(), (Some((41, HOLD_MS)), HOLD_MS + LATE_MS));
+    assert_eq!(watch.answered(false, 43), Some(ListKind::Delta));
+    // Silence loses nothing: it goes on from what is held, each time after a longer pause, up to a quarter of a second.
+    let pauses: Vec<u64> = (0..8).map(|_| watch.failed(false, 0.999)).collect();
+    assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 250_000, "{pauses:?}");
+    assert_eq!(watch.next(), (Some((43, 0)), LATE_MS), "another lost call is noticed sooner");
+    // An answer that could not be read may have told something.
+    watch.failed(true, 0.0);
+    assert_eq!(watch.next().0, None);
+    // Changes to a list that is not held are of no use.
+    assert_eq!(watch.answered(false, 44), None);
+    assert!(watch.failed(true, 0.0) > 0, "asked again after a pause, however often it is answered so");
+    assert_eq!(watch.answered(true, 44), Some(ListKind::Full));
+    assert_eq!(watch.answered(false, 3), None, "an agent that began anew");
+    watch.failed(true, 0.0);
+    assert_eq!(watch.next().0, None);
+    assert_eq!(watch.answered(true, 3), Some(ListKind::Full));
+    watch.moved();
+    assert_eq!(watch.next().0, None);
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -11,6 +11,7 @@
 use frostgauge_gateway::clock::Clock;
 use frostgauge_gateway::daemon::exit;
 use frostgauge_gateway::engine::Message;
+use frostgauge_hosting::times::{ACCEPT, SLACK};
 use frostgauge_net::{listen, or_closing, Closing};
 use frostgauge_platform::config::{Config, MOST_BYTES};
 use futures_lite::StreamExt;
@@ -22,13 +23,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// New connections are taken for this long after SIGTERM: the front learns of it some time later.
-const ACCEPT: Duration = Duration::from_millis(600);
 /// How often the end is looked for, and how long a failed accept pauses.
 const LOOK: Duration = Duration::from_millis(5);
-/// Beyond the longest deadline, for what is being written.
-const SLACK: Duration = Duration::from_millis(400);
-
 /// Reads the configuration that the variables name. What a variable says must be what the file says.
 ///
 /// # Errors
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,8 +4,9 @@
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use frostgauge_gateway::engine::Message;
+use frostgauge_hosting::watch::{Watch, LATE_MS};
 use frostgauge_net::{talk, until, Timed};
-use frostgauge_platform::targets::{List, Watch, LATE_MS, MOST_BYTES};
+use frostgauge_platform::targets::{self, List, MOST_BYTES};
 use frostgauge_proto::http::{write_request, Body, Limits};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -41,7 +42,7 @@
                 continue;
             }
         };
-        let kind = answer.and_then(|list| match watch.answered(&list) {
+        let kind = answer.and_then(|list| match watch.answered(list.reset, list.generation) {
             Some(kind) => Ok((kind, list)),
             None => Err(Failed::Unreadable("changes to a list that is not held".to_owned())),
         });
@@ -92,7 +93,8 @@
 }
 
 async fn call(watch: &Watch, to: SocketAddr, link: &mut Option<Async<TcpStream>>) -> Result<List, Failed> {
-    let (target, patience) = watch.next();
+    let (ask, patience) = watch.next();
+    let target = targets::call(ask);
     let silent = |e: std::io::Error| Failed::Silent(e.to_string());
     let late = || Failed::Silent("no answer in time".to_owned());
     let stream = match link.take() {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,12 +1,13 @@
 //! Clients: one request at a time on a connection, answered before the next is read.
 
-use crate::budget::Taken;
 use crate::outside::{Call, Front, Handle};
 use crate::seats::Seat;
+use crate::stock::Taken;
 use crate::upstream::Forward;
 use async_io::Async;
 use frostgauge_gateway::engine::{Message, Reply};
 use frostgauge_gateway::reply::Final;
+use frostgauge_hosting::times::{CLOSING, FIRST, IDLE, LINGER, WHOLE, WRITE};
 use frostgauge_net::{or_closing, read_some, until, Closing, Timed};
 use frostgauge_platform::request::{self, Bad};
 use frostgauge_proto::http::{
@@ -17,23 +18,10 @@
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Bounds on a request: content as the protocol has it, heads with room to spare.
 const REQUEST: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
-/// A new connection has brought a whole request by then, or is closed: what can't be read is owed an end in 3 s.
-const FIRST: Duration = Duration::from_millis(2_200);
-/// A request that has begun on a kept connection is whole by then.
-const WHOLE: Duration = Duration::from_millis(2_200);
-/// A kept connection without a request is closed after this.
-const IDLE: Duration = Duration::from_secs(60);
-/// How long an idle connection is still read once the process closes: clients go on using those that stand.
-const CLOSING: Duration = Duration::from_millis(450);
-/// How long an answer may take to be written to a client that does not read.
-const WRITE: Duration = Duration::from_secs(2);
-/// How long, and how many bytes, a closed connection is still read, so that the client's last bytes do not make the
-/// kernel throw away an answer on its way.
-const LINGER: (Duration, usize) = (Duration::from_millis(200), 64 << 10);
 /// Bytes read ahead while an answer is awaited.
 const AHEAD: usize = 4 << 10;
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: those idle are kept for a while, all together are bounded. They belong to a server, not to
 //! an address, since a new server may stand where another was.
 
-use crate::budget::{Stock, Taken};
+use crate::stock::{Stock, Taken};
 use async_io::Async;
 use frostgauge::ServerId;
 use std::collections::BTreeMap;
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -1,9 +1,9 @@
 //! What lies around the engine on the platform: callers come with their requests, servers from discovery.
 
-use crate::budget::Shares;
 use crate::links::Links;
 use crate::peers::Peers;
 use crate::seats::Seats;
+use crate::stock::Stock;
 use crate::table::Table;
 use crate::upstream::{self, Forward, Times};
 use async_executor::{Executor, Task};
@@ -12,6 +12,8 @@
 use frostgauge_gateway::core::{Ask, Command, Core, Input};
 use frostgauge_gateway::engine::{self, Attempt, Inside, Message, Outside};
 use frostgauge_gateway::upstream::Ended;
+use frostgauge_hosting::shares::Shares;
+use frostgauge_hosting::times;
 use frostgauge_platform::config::Config;
 use frostgauge_platform::request::Request;
 use frostgauge_platform::settings::Site;
@@ -24,9 +26,6 @@
 
 /// How often idle connections are looked through.
 const SWEEP: Micros = 500_000;
-/// Where the settings tell no time for connecting, and none for idle connections.
-const CONNECT: Duration = Duration::from_millis(250);
-const IDLE: Duration = Duration::from_secs(10);
 /// Most requests open at once, where the settings tell no other number: over any number of clients' seats.
 const MOST_OPEN: usize = 20_000;
 
@@ -52,7 +51,7 @@
     /// Seats for clients' connections.
     pub seats: Seats,
     /// Bytes of content that may be held for clients.
-    pub bytes: crate::budget::Stock,
+    pub bytes: Stock,
     /// Requests can be served.
     pub ready: AtomicBool,
     /// Ids of open requests.
@@ -86,6 +85,7 @@
     handle: Handle,
     executor: Arc<Executor<'static>>,
     links: Arc<Links>,
+    times: times::Links,
     servers: Table,
     peers: Option<Peers>,
     scope: Arc<str>,
@@ -103,15 +103,14 @@
     peers: Option<Peers>,
 ) -> Result<(Engine, Handle), frostgauge::SettingsError> {
     let (now, site) = (clock.now(), &config.site);
-    let shares = Shares::of(&config.limits);
+    let shares = Shares::of(config.limits.sockets, config.limits.memory_mb);
     let most_open = if site.most_open > 0 { site.most_open } else { MOST_OPEN };
     let core = Core::without_tokens(site.settings.clone(), most_open, config.seed, now)?;
-    // Well inside the time after which servers close: what closes as it is used may have run.
-    let idle = if site.idle > 0 { Duration::from_micros(site.idle) * 3 / 4 } else { IDLE };
+    let times = times::Links::of(site.connect, site.idle, site.drain_grace);
     let front = Front {
         site: site.clone(),
         seats: Seats::new(shares.clients, shares.idle),
-        bytes: crate::budget::Stock::new(shares.bytes),
+        bytes: Stock::new(shares.bytes),
         ready: AtomicBool::new(false),
         open: Mutex::default(),
     };
@@ -119,7 +118,8 @@
     let outside = Platform {
         handle: handle.clone(),
         executor,
-        links: Arc::new(Links::new(shares.servers, idle)),
+        links: Arc::new(Links::new(shares.servers, times.idle)),
+        times,
         servers: Table::default(),
         peers,
         scope: Arc::from(""),
@@ -129,15 +129,9 @@
 }
 
 impl Platform {
-    fn times(&self, timeout: Micros) -> Times {
-        let (now, site) = (Instant::now(), &self.handle.shared.site);
-        let connect = if site.connect > 0 { Duration::from_micros(site.connect) } else { CONNECT };
-        let grace = if site.drain_grace > 0 { Duration::from_micros(site.drain_grace) } else { connect };
-        Times {
-            connect,
-            first_byte: now + grace.min(2 * connect),
-            deadline: now + Duration::from_micros(timeout),
-        }
+    fn times(&self, timeout: Duration) -> Times {
+        let (now, times::Links { connect, first_byte, .. }) = (Instant::now(), self.times);
+        Times { connect, first_byte: now + first_byte, deadline: now + timeout }
     }
 }
 
@@ -189,8 +183,9 @@
                 let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
             });
         };
+        let timeout = Duration::from_micros(timeout);
         let times = self.times(timeout);
-        let bytes = call.forward.bytes(to, Duration::from_micros(timeout));
+        let bytes = call.forward.bytes(to, timeout);
         let (links, front) = (self.links.clone(), self.handle.shared.clone());
         self.executor.spawn(async move {
             let ended = upstream::attempt(&links, &front.site, (server, to), &bytes, times).await;
@@ -208,8 +203,7 @@
                 let to = self.servers.address(server)?;
                 let (inbox, links, front) =
                     (self.handle.inbox(), self.links.clone(), self.handle.shared.clone());
-                let mut times = self.times(0);
-                times.deadline = Instant::now() + times.connect;
+                let times = self.times(self.times.connect);
                 let probe = async move {
                     let ended = upstream::probe(&links, &front.site, (server, to), times).await;
                     let _ = inbox.send(Message::Probed { server, ended }).await;
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -1,31 +1,28 @@
-//! Seats for clients' connections. Where all are taken, a connection without an open request gives up its own for one
-//! that arrives: one that never asked first, then the one that has been idle longest. Guards against hundreds of
-//! connections that say nothing, or that asked once and stay, in whose place usual clients would not be served.
-//!
-//! Kept connections without a request are bounded by themselves, since the clients' side has a bound of its own that
-//! is not told: guards against clients that ask once and keep each connection for good, until none is left there for a
-//! new one while there still are seats here.
+//! Seats for clients' connections: `hosting`'s [`Seating`] with the tasks that wait on it.
 
 use async_channel::{Receiver, Sender};
-use std::collections::{BTreeMap, BTreeSet};
+use frostgauge_hosting::seating::{Arrival, Seating, Waiting};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    taken: usize,
-    next: u64,
-    /// Who may be asked to leave, in that order: never asked anything or have, then the order of their waiting.
-    idle: BTreeMap<(bool, u64), Sender<()>>,
-    /// Those of them asked for the sake of one that comes, not yet gone.
-    leaving: BTreeSet<(bool, u64)>,
+    seating: Seating,
+    /// How those who wait for a request are asked to leave.
+    idle: BTreeMap<Waiting, Sender<()>>,
+}
+
+impl State {
+    fn ask(&mut self, waiting: Waiting) {
+        let _ = self.idle.remove(&waiting).map(|sender| sender.try_send(()));
+    }
 }
 
 /// All seats.
 #[derive(Clone, Debug)]
 pub struct Seats {
     state: Arc<Mutex<State>>,
-    most: usize,
-    most_idle: usize,
+    /// Something changed for who waits for a seat.
     freed: (Sender<()>, Receiver<()>),
 }
 
@@ -37,10 +34,7 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        {
-            let mut state = self.seats.lock();
-            state.taken = state.taken.saturating_sub(1);
-        }
+        self.seats.lock().seating.left();
         let _ = self.seats.freed.0.try_send(());
     }
 }
@@ -49,7 +43,7 @@
 #[derive(Debug)]
 pub struct Idle<'a> {
     seat: &'a Seat,
-    key: (bool, u64),
+    waiting: Waiting,
     asked: Receiver<()>,
 }
 
@@ -63,9 +57,8 @@
 impl Drop for Idle<'_> {
     fn drop(&mut self) {
         let mut state = self.seat.seats.lock();
-        state.idle.remove(&self.key);
-        if state.leaving.remove(&self.key) {
-            // Where a request came first it stays, and another may be asked.
+        state.idle.remove(&self.waiting);
+        if state.seating.waits_no_longer(self.waiting) {
             drop(state);
             let _ = self.seat.seats.freed.0.try_send(());
         }
@@ -77,26 +70,23 @@
     pub fn idle(&self, used: bool) -> Idle<'_> {
         let (sender, asked) = async_channel::bounded(1);
         let mut state = self.seats.lock();
-        state.next += 1;
-        let key = (used, state.next);
-        state.idle.insert(key, sender);
-        let kept = state.idle.range((true, 0)..).count();
-        if kept > self.seats.most_idle {
-            if let Some(oldest) = state.idle.range((true, 0)..).next().map(|(key, _)| *key) {
-                let _ = state.idle.remove(&oldest).map(|asked| asked.try_send(()));
-            }
+        let (waiting, oldest) = state.seating.waits(used);
+        state.idle.insert(waiting, sender);
+        if let Some(oldest) = oldest {
+            state.ask(oldest);
         }
         drop(state);
         // Someone may wait for just this: a connection that could leave.
         let _ = self.seats.freed.0.try_send(());
-        Idle { seat: self, key, asked }
+        Idle { seat: self, waiting, asked }
     }
 }
 
 impl Seats {
     /// So many; and so many of them for kept connections without a request.
-    pub fn new(most: usize, most_idle: usize) -> Seats {
-        Seats { state: Arc::default(), most: most.max(1), most_idle, freed: async_channel::bounded(1) }
+    pub fn new(most: usize, most_kept: usize) -> Seats {
+        let state = State { seating: Seating::new(most, most_kept), idle: BTreeMap::new() };
+        Seats { state: Arc::new(Mutex::new(state)), freed: async_channel::bounded(1) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -105,7 +95,7 @@
 
     /// Seats taken.
     pub fn taken(&self) -> usize {
-        self.lock().taken
+        self.lock().seating.taken()
     }
 
     /// Waits for a seat, asking someone to leave where there is none.
@@ -113,17 +103,10 @@
         loop {
             {
                 let mut state = self.lock();
-                if state.taken < self.most {
-                    state.taken += 1;
-                    return Seat { seats: self.clone() };
-                }
-                // One leaves for one that comes.
-                if state.leaving.is_empty() {
-                    if let Some((key, sender)) = state.idle.pop_first() {
-                        if sender.try_send(()).is_ok() {
-                            state.leaving.insert(key);
-                        }
-                    }
+                match state.seating.arrive() {
+                    Arrival::Seated => return Seat { seats: self.clone() },
+                    Arrival::Ask(waiting) => state.ask(waiting),
+                    Arrival::Wait => {}
                 }
             }
             let _ = self.freed.1.recv().await;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -4,6 +4,7 @@
 use async_io::Timer;
 use frostgauge::{Load, ServerId, Status};
 use frostgauge_gateway::upstream::Ended;
+use frostgauge_hosting::times;
 use frostgauge_net::{exhausted, talk, until, Response, Timed};
 use frostgauge_platform::{answer, request, settings::Site};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
@@ -15,9 +16,6 @@
 /// Bounds on an answer: content as the protocol has it, heads with room to spare.
 pub const ANSWER: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
 
-/// Least and longest time between a request's other bytes and its last one.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(5));
-
 /// A client's request, as it is passed on.
 #[derive(Debug)]
 pub struct Forward {
@@ -132,7 +130,7 @@
     let talked = until(deadline, async {
         let mut stream = &link.stream;
         stream.write_all(most).await?;
-        Timer::after((2 * link.trip).clamp(PAUSE.0, PAUSE.1)).await;
+        Timer::after(times::last_byte(link.trip)).await;
         talk(&link.stream, last, false, &ANSWER, &mut written).await
     });
     match talked.await {
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -3,28 +3,16 @@
 use async_io::{block_on, Async};
 use frostgauge::{ListKind, ServerId};
 use frostgauge_net::{until, Timed};
-use frostgauge_node::budget::{Shares, Stock};
 use frostgauge_node::links::Links;
 use frostgauge_node::seats::Seats;
+use frostgauge_node::stock::Stock;
 use frostgauge_node::table::Table;
-use frostgauge_platform::config::Limits;
 use frostgauge_platform::targets::{Lifecycle, Target};
 use futures_lite::future::poll_once;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-#[test]
-fn descriptors_are_shared_out_with_room_for_the_gateways_own() {
-    for sockets in [64, 256, 1024] {
-        let shares = Shares::of(&Limits { cores: 1.0, memory_mb: 32, sockets });
-        assert_eq!(shares.clients, shares.servers);
-        assert!(shares.clients + shares.servers + 20 <= sockets);
-        // Requests of usual clients hold a third at most.
-        assert!(sockets < 256 || shares.clients > sockets / 3);
-    }
-}
-
 #[test]
 fn a_stock_is_never_overdrawn_and_comes_back() {
     let stock = Stock::new(10);
@@ -36,44 +24,18 @@
 }
 
 #[test]
-fn who_never_asked_leaves_first_then_who_is_idle_longest() {
-    block_on(async {
-        let seats = Seats::new(3, 3);
-        let (one, two, three) = (seats.take().await, seats.take().await, seats.take().await);
-        let (used, silent, busy) = (one.idle(true), two.idle(false), three);
-        let mut fourth = Box::pin(seats.take());
-        assert!(poll_once(&mut fourth).await.is_none());
-        assert!(poll_once(Box::pin(silent.asked())).await.is_some(), "the silent one is asked");
-        assert!(poll_once(Box::pin(used.asked())).await.is_none(), "one leaves for one that comes");
-        drop(silent);
-        drop(two);
-        let fourth = poll_once(&mut fourth).await.expect("its seat");
-        // A request came before the next one asked has left: it stays, and another is asked.
-        let again = fourth.idle(true);
-        let mut fifth = Box::pin(seats.take());
-        assert!(poll_once(&mut fifth).await.is_none());
-        assert!(poll_once(Box::pin(used.asked())).await.is_some(), "idle longest");
-        drop(used);
-        assert!(poll_once(&mut fifth).await.is_none());
-        assert!(poll_once(Box::pin(again.asked())).await.is_some());
-        drop(again);
-        drop(fourth);
-        assert!(poll_once(&mut fifth).await.is_some());
-        drop((one, busy));
-    });
-}
-
-#[test]
-fn kept_connections_without_a_request_are_bounded_by_themselves() {
+fn a_seat_goes_to_who_arrives_once_the_one_asked_has_left() {
     block_on(async {
-        let seats = Seats::new(100, 2);
-        let all = [seats.take().await, seats.take().await, seats.take().await, seats.take().await];
-        let (silent, one, two) = (all[0].idle(false), all[1].idle(true), all[2].idle(true));
-        assert!(poll_once(Box::pin(one.asked())).await.is_none());
-        let _three = all[3].idle(true);
-        assert!(poll_once(Box::pin(one.asked())).await.is_some(), "idle longest");
-        assert!(poll_once(Box::pin(two.asked())).await.is_none());
-        assert!(poll_once(Box::pin(silent.asked())).await.is_none(), "it may be about to ask");
+        let seats = Seats::new(1, 1);
+        let one = seats.take().await;
+        let idle = one.idle(true);
+        let mut next = Box::pin(seats.take());
+        assert!(poll_once(&mut next).await.is_none());
+        assert!(poll_once(Box::pin(idle.asked())).await.is_some());
+        drop(idle);
+        assert!(poll_once(&mut next).await.is_none(), "it has not left yet");
+        drop(one);
+        assert!(poll_once(&mut next).await.is_some());
     });
 }
 
--- a/crates/platform/tests/values.rs
+++ b/crates/platform/tests/values.rs
@@ -1,8 +1,8 @@
 //! The platform's values: lists, answers, requests from whatever bytes come.
 
-use frostgauge::{Effect, ListKind, State, Status};
+use frostgauge::{Effect, State, Status};
 use frostgauge_platform::settings::{self, Column, Site};
-use frostgauge_platform::targets::{List, Watch, HOLD_MS, LATE_MS};
+use frostgauge_platform::targets::{self, List};
 use frostgauge_platform::{answer, request};
 use frostgauge_proto::http::Head;
 use proptest::prelude::*;
@@ -92,38 +92,13 @@
     let moved = List::read(text.replace("10.1.0.18", "10.9.0.18").as_bytes()).expect("a list");
     assert_eq!(moved.instances[0].server(), list.instances[0].server());
     assert_ne!(list.instances[0].server(), list.instances[1].server());
+    assert_eq!(targets::call(None), "/api/targets");
+    assert_eq!(targets::call(Some((41, 20))), "/api/targets?from=41&hold_ms=20");
     for odd in ["", "{}", "[]", &text.replace("41", "-1"), &text.replace("\"up\"", "\"well\"")] {
         assert!(List::read(odd.as_bytes()).is_err(), "{odd}");
     }
 }
 
-#[test]
-fn a_watch_follows_without_gaps() {
-    let list = |generation, reset| List { generation, reset, instances: vec![] };
-    let mut watch = Watch::default();
-    assert_eq!(watch.next(), ("/api/targets".to_owned(), LATE_MS));
-    assert_eq!(watch.answered(&list(41, true)), Some(ListKind::Full));
-    assert_eq!(watch.next(), (format!("/api/targets?from=41&hold_ms={HOLD_MS}"), HOLD_MS + LATE_MS));
-    assert_eq!(watch.answered(&list(43, false)), Some(ListKind::Delta));
-    // Silence loses nothing: it goes on from what is held, each time after a longer pause, up to a quarter of a second.
-    let pauses: Vec<u64> = (0..8).map(|_| watch.failed(false, 0.999)).collect();
-    assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 250_000, "{pauses:?}");
-    assert!(watch.next().0.contains("from=43"));
-    // An answer that could not be read may have told something.
-    watch.failed(true, 0.0);
-    assert_eq!(watch.next().0, "/api/targets");
-    // Changes to a list that is not held are of no use.
-    assert_eq!(watch.answered(&list(44, false)), None);
-    assert!(watch.failed(true, 0.0) > 0, "asked again after a pause, however often it is answered so");
-    assert_eq!(watch.answered(&list(44, true)), Some(ListKind::Full));
-    assert_eq!(watch.answered(&list(3, false)), None, "an agent that began anew");
-    watch.failed(true, 0.0);
-    assert_eq!(watch.next().0, "/api/targets");
-    assert_eq!(watch.answered(&list(3, true)), Some(ListKind::Full));
-    watch.moved();
-    assert_eq!(watch.next().0, "/api/targets");
-}
-
 proptest! {
     /// Whatever fields come, a request is read or turned away, and what is read is in range.
     #[test]
