--- a/crates/frostgauged/tests/clients.rs
+++ b/crates/frostgauged/tests/clients.rs
@@ -185,9 +185,7 @@
     // Far more silent connections than there are seats; all stay open on this side.
     let silent: Vec<Client> = (0..300).map(|_| Client::to(address)).collect();
     let mut client = gateway.client();
-    for _ in 0..20 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(20);
     assert_eq!(servers[0].ids().len(), 20);
     for thread in slow {
         let took = thread.join().expect("a time");
@@ -283,9 +281,7 @@
         }
     }
     let mut client = gateway.client();
-    for _ in 0..20 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(20);
 }
 
 #[test]
--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -139,11 +139,16 @@
     }
 
     pub fn entry(&self, id: &str, lifecycle: &str) -> Value {
-        json!({"instanceId": id, "hostPort": self.address.to_string(), "zone": "a", "machineType": "m",
-               "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+        entry(id, self.address, lifecycle)
     }
 }
 
+/// An entry of discovery's list.
+pub fn entry(id: &str, address: SocketAddr, lifecycle: &str) -> Value {
+    json!({"instanceId": id, "hostPort": address.to_string(), "zone": "a", "machineType": "m", "cell": 0,
+           "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+}
+
 #[derive(Default)]
 pub struct Told {
     generation: u64,
@@ -419,6 +424,15 @@
         read(&mut self.0)
     }
 
+    /// Says so many usual reports, each of which is served; their ids.
+    pub fn served(&mut self, n: usize) -> Vec<String> {
+        let ids: Vec<String> = (0..n).map(|_| id()).collect();
+        for id in &ids {
+            assert_eq!(self.say(&request(id, true)).status(), 200);
+        }
+        ids
+    }
+
     /// Waits for the connection's end; whatever came before it.
     pub fn end(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -130,11 +130,7 @@
     let turned =
         || -> Box<Act> { Box::new(|_, s| s.write_all(&answer(503, "X-Turned-Away: 1\r\n", "full")).is_ok()) };
     let (servers, _discovery, gateway) = stage(vec![turned(), serve()]);
-    let mut client = gateway.client();
-    let ids: Vec<String> = (0..10).map(|_| id()).collect();
-    for id in &ids {
-        assert_eq!(client.say(&request(id, true)).status(), 200);
-    }
+    let ids = gateway.client().served(10);
     assert_eq!(servers[1].ids(), ids);
 }
 
@@ -160,15 +156,10 @@
 fn a_server_that_refuses_is_proven_not_to_have_run() {
     let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     let server = Server::start(serve());
-    let mut dead = server.entry("s-dead", "up");
-    dead["hostPort"] = json!(gone.to_string());
+    let dead = entry("s-dead", gone, "up");
     let discovery = Discovery::start(vec![dead, server.entry("s-0", "up")]);
     let gateway = Gateway::start(&discovery);
-    let mut client = gateway.client();
-    let ids: Vec<String> = (0..10).map(|_| id()).collect();
-    for id in &ids {
-        assert_eq!(client.say(&request(id, true)).status(), 200);
-    }
+    let ids = gateway.client().served(10);
     assert_eq!(server.ids(), ids);
 }
 
@@ -222,15 +213,9 @@
 #[test]
 fn an_unsafe_request_goes_to_a_new_connection_where_the_kept_one_is_reset_under_it() {
     let (address, seen) = resets_at_next_request(1);
-    let discovery = Discovery::start(vec![json!({
-        "instanceId": "s-0", "hostPort": address.to_string(), "zone": "a", "cell": 0, "lifecycle": "up",
-        "weight": 1.0, "startedAtMs": 0})]);
+    let discovery = Discovery::start(vec![entry("s-0", address, "up")]);
     let gateway = Gateway::start(&discovery);
-    let mut client = gateway.client();
-    let ids: Vec<String> = (0..20).map(|_| id()).collect();
-    for id in &ids {
-        assert_eq!(client.say(&request(id, true)).status(), 200, "not one is lost to a connection");
-    }
+    let ids = gateway.client().served(20);
     assert_eq!(*seen.lock().expect("unpoisoned"), ids, "and not one goes twice");
 }
 
@@ -238,15 +223,10 @@
 fn a_new_connection_that_is_reset_as_the_request_comes_has_not_run_it() {
     let (address, _) = resets_at_next_request(0);
     let server = Server::start(serve());
-    let mut bad = server.entry("s-bad", "up");
-    bad["hostPort"] = json!(address.to_string());
+    let bad = entry("s-bad", address, "up");
     let discovery = Discovery::start(vec![bad, server.entry("s-0", "up")]);
     let gateway = Gateway::start(&discovery);
-    let mut client = gateway.client();
-    let ids: Vec<String> = (0..20).map(|_| id()).collect();
-    for id in &ids {
-        assert_eq!(client.say(&request(id, true)).status(), 200);
-    }
+    let ids = gateway.client().served(20);
     assert_eq!(server.ids(), ids);
 }
 
@@ -254,9 +234,7 @@
 fn connections_are_kept_and_used_again() {
     let (servers, _discovery, gateway) = stage(vec![serve()]);
     let mut client = gateway.client();
-    for _ in 0..50 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(50);
     assert!(
         servers[0].connections.load(Ordering::SeqCst) <= 3,
         "one for requests, one or two beside for probes"
@@ -267,16 +245,12 @@
 fn a_draining_server_gets_nothing_new() {
     let (servers, discovery, gateway) = stage(vec![serve(), serve()]);
     let mut client = gateway.client();
-    for _ in 0..20 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(20);
     discovery.change(vec![servers[0].entry("s-0", "draining")]);
     // Once the next watch is out, the change has been taken.
     wait("a watch from the new version", || discovery.asked().iter().any(|a| a.contains("from=2")));
     let before = servers[0].ids().len();
-    for _ in 0..20 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(20);
     assert_eq!(servers[0].ids().len(), before);
 }
 
@@ -312,9 +286,7 @@
     discovery.change(vec![servers[0].entry("s-0", "removed")]);
     wait("a watch from the new version", || discovery.asked().iter().any(|a| a.contains("from=2")));
     let before = servers[0].ids().len();
-    for _ in 0..10 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(10);
     assert_eq!(servers[0].ids().len(), before);
 }
 
@@ -356,9 +328,7 @@
     assert!(began.elapsed() < Duration::from_millis(HOLD_MS + 2_000), "{:?}", began.elapsed());
     let before = servers[0].ids().len();
     let mut client = gateway.client();
-    for _ in 0..10 {
-        assert_eq!(client.say(&request(&id(), true)).status(), 200);
-    }
+    client.served(10);
     assert_eq!(servers[0].ids().len(), before);
 }
 
@@ -397,14 +367,9 @@
 fn a_server_that_vanished_is_proven_not_to_have_run_and_left_alone() {
     let (_socket, address, _kept) = vanished();
     let server = Server::start(serve());
-    let mut gone = server.entry("s-gone", "up");
-    gone["hostPort"] = json!(address.to_string());
+    let gone = entry("s-gone", address, "up");
     let discovery = Discovery::start(vec![gone, server.entry("s-0", "up")]);
     let gateway = Gateway::start(&discovery);
-    let mut client = gateway.client();
-    let ids: Vec<String> = (0..10).map(|_| id()).collect();
-    for id in &ids {
-        assert_eq!(client.say(&request(id, true)).status(), 200);
-    }
+    let ids = gateway.client().served(10);
     assert_eq!(server.ids(), ids);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -127,12 +127,23 @@
     }
 
     pub fn outcome(&mut self, id: RequestId, attempt: u32, server: ServerId, status: Status) -> Vec<Action> {
+        self.ended(id, attempt, server, status, 30 * MS)
+    }
+
+    pub fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        server: ServerId,
+        status: Status,
+        took: Micros,
+    ) -> Vec<Action> {
         self.event(Event::Outcome {
             id,
             attempt,
             server,
             status,
-            took: 30 * MS,
+            took,
             closed: status == Status::Ok,
             used: None,
             settled: None,
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -34,17 +34,7 @@
         for k in 0..60 {
             let (id, actions) = rig.request(1, k, 2 * S);
             let server = sent(&actions).expect("room for one");
-            rig.event(Event::Outcome {
-                id,
-                attempt: 0,
-                server,
-                status: Status::Ok,
-                took,
-                closed: true,
-                used: None,
-                settled: None,
-                load: None,
-            });
+            rig.ended(id, 0, server, Status::Ok, took);
         }
         rig.run_to(20 * S);
         taken(&mut rig, 1)
@@ -58,12 +48,6 @@
     // Ten servers before three gateways: at rest this one's part is over 16 attempts, after slow answers under five.
     let s = Settings { gateways: 3, classes: vec![class(Effect::Safe)], ..settings() };
     let mut rig = Rig::new(s, &(1..=10).map(|k| entry(k, 0)).collect::<Vec<_>>());
-    let slow = |rig: &mut Rig, id, server| {
-        let (status, took) = (Status::Ok, 500 * MS);
-        let (used, settled, load) = (None, None, None);
-        let (attempt, closed) = (0, true);
-        rig.event(Event::Outcome { id, attempt, server, status, took, closed, used, settled, load });
-    };
     let mut out = std::collections::VecDeque::new();
     // A jam: answers take 500 ms each, and as much is out as may be.
     for k in 0..200 {
@@ -72,11 +56,11 @@
         out.extend(sent(&actions).map(|server| (rig.now, id, server)));
         while out.front().is_some_and(|o| o.0 + 500 * MS <= rig.now) {
             let (_, id, server) = out.pop_front().expect("one");
-            slow(&mut rig, id, server);
+            rig.ended(id, 0, server, Status::Ok, 500 * MS);
         }
     }
     for (_, id, server) in out {
-        slow(&mut rig, id, server);
+        rig.ended(id, 0, server, Status::Ok, 500 * MS);
     }
     // Nothing is out now: the next one goes, whatever the mean of the last seconds was.
     assert!(sent(&rig.request(0, 999, 2 * S).1).is_some());
@@ -91,17 +75,12 @@
             let server = sent(&actions).expect("room for one");
             // Two in a hundred fall silent, the rest take a tenth of the aim.
             let (status, took) = if k % 50 == 0 { (Status::Timeout, silent) } else { (Status::Ok, 60 * MS) };
-            let (used, settled, load) = (None, None, None);
-            let (attempt, closed) = (0, true);
-            rig.event(Event::Outcome { id, attempt, server, status, took, closed, used, settled, load });
+            rig.ended(id, 0, server, status, took);
         }
         // The last of them just now.
         let (id, actions) = rig.request(1, 500, 2 * S);
         let server = sent(&actions).expect("room for one");
-        let (status, took) = (Status::Timeout, silent);
-        let (used, settled, load) = (None, None, None);
-        let (attempt, closed) = (0, true);
-        rig.event(Event::Outcome { id, attempt, server, status, took, closed, used, settled, load });
+        rig.ended(id, 0, server, Status::Timeout, silent);
         taken(&mut rig, 1)
     };
     assert_eq!(taken_after(2 * S), taken_after(600 * MS), "how long nothing came says nothing more");
