What comes before a request's last byte is nobody's answer; tests of it go step by step

Seen: the stand-in's thread reset the connection more than the pause (1 to 5 ms) after the first bytes, so the last byte was out and 502 was right; the test raced a timer. Ruled out: the gateway's judgement (the same order of events, forced, gives Broken and a repeat). Lines at fault: upstream.rs, converse looked at nothing between the pause and the last byte, and probe gave its connection back whatever the answer was.

Change: after the pause a connection that has brought anything, or ended, is left with nothing run (a kept one gives way to a new one); a connection whose probe brought no report is not kept. The pause is part of the attempt's times, handed in. Tests move an attempt on by hand (crates/node/tests/attempts.rs): reset before the last byte on a kept and on a new connection, end after it, a copy before it, a probe without a report.

--- a/crates/hosting/src/times.rs
+++ b/crates/hosting/src/times.rs
@@ -35,6 +35,8 @@
     /// An idle connection is used again within this: well inside the time after which servers close, since what closes
     /// as it is used may have run.
     pub idle: Duration,
+    /// Least and longest time between a request's other bytes and its last one.
+    pub pause: (Duration, Duration),
 }
 
 impl Links {
@@ -43,11 +45,11 @@
         let told = |us: u64, or: Duration| if us > 0 { Duration::from_micros(us) } else { or };
         let connect = told(connect_us, UNTOLD.0);
         let idle = if idle_us > 0 { Duration::from_micros(idle_us) * 3 / 4 } else { UNTOLD.1 };
-        Links { connect, first_byte: told(drain_grace_us, connect).min(2 * connect), idle }
+        Links { connect, first_byte: told(drain_grace_us, connect).min(2 * connect), idle, pause: PAUSE }
     }
 }
 
 /// How long a request's last byte waits behind the others, on a connection that took so long to stand.
-pub fn last_byte(trip: Duration) -> Duration {
-    (2 * trip).clamp(PAUSE.0, PAUSE.1)
+pub fn last_byte(trip: Duration, (least, most): (Duration, Duration)) -> Duration {
+    (2 * trip).clamp(least, most)
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -28,9 +28,11 @@
     life: Duration,
 }
 
-/// Nothing has come and the other side has not closed.
-fn quiet(link: &Link) -> bool {
-    matches!(link.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+impl Link {
+    /// Nothing has come and the other side has not closed.
+    pub fn quiet(&self) -> bool {
+        matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
 }
 
 impl Links {
@@ -49,7 +51,7 @@
         let mut idle = self.lock();
         let list = idle.get_mut(&server)?;
         while let Some((link, since)) = list.pop() {
-            if since.elapsed() < self.life && quiet(&link) {
+            if since.elapsed() < self.life && link.quiet() {
                 return Some(link);
             }
         }
@@ -83,7 +85,7 @@
     /// Closes what is idle too long, was closed by its server or has brought something unasked for.
     pub fn sweep(&self) {
         self.lock().retain(|_, list| {
-            list.retain(|(link, since)| since.elapsed() < self.life && quiet(link));
+            list.retain(|(link, since)| since.elapsed() < self.life && link.quiet());
             !list.is_empty()
         });
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -54,6 +54,8 @@
     pub first_byte: Instant,
     /// It is given up then.
     pub deadline: Instant,
+    /// Least and longest time between a request's other bytes and its last one.
+    pub pause: (Duration, Duration),
 }
 
 fn bare(status: Status) -> Ended {
@@ -70,7 +72,12 @@
     times: Times,
 ) -> Ended {
     match exchange(links, (server, to), request, times).await {
-        Ok(response) => ended(site, response),
+        Ok((response, link)) => {
+            if let Some(link) = link {
+                links.put(server, link);
+            }
+            ended(site, response)
+        }
         Err(status) => bare(status),
     }
 }
@@ -81,16 +88,20 @@
     Ended { status, response: Some(Box::new(response)), used, load }
 }
 
+/// A response, and the connection it came on where that may go on.
+type Answered = (Response, Option<Link>);
+
 async fn exchange(
     links: &Links,
     (server, to): (ServerId, SocketAddr),
     request: &[u8],
     times: Times,
-) -> Result<Response, Status> {
-    let Times { connect, first_byte, deadline } = times;
+) -> Result<Answered, Status> {
+    let Times { connect, first_byte, deadline, pause } = times;
     if let Some(link) = links.take(server) {
-        match converse(links, server, link, request, deadline).await {
-            // A kept connection that its server had dropped: not a whole request went out, so no attempt was made.
+        match converse(link, request, deadline, pause).await {
+            // A kept connection that its server had dropped, or that brought something unasked for: not a whole
+            // request went out, so no attempt was made.
             Err(Status::Broken) => {}
             end => return end,
         }
@@ -110,36 +121,35 @@
         return Err(Status::Moot);
     }
     let _ = stream.get_ref().set_nodelay(true);
-    converse(links, server, Links::link(stream, place, began.elapsed()), request, deadline).await
+    converse(Links::link(stream, place, began.elapsed()), request, deadline, pause).await
 }
 
 /// Writes a request on a connection and reads its answer.
 ///
 /// The last byte goes out a round trip after the others. A server begins a request once that byte has arrived, and
 /// one that has dropped the connection resets it at the first. Guards against an unsafe request that is lost to a
-/// connection closed without a word, or reset as the request comes: its end then proves that it has not run.
+/// connection closed without a word, or reset as the request comes: its end then proves that it has not run. Whatever
+/// has come by then is no answer to this request: guards against a second copy of the one before, still on its way
+/// when the connection was looked at, that would be served as this one's.
 async fn converse(
-    links: &Links,
-    server: ServerId,
     link: Link,
     request: &[u8],
     deadline: Instant,
-) -> Result<Response, Status> {
+    pause: (Duration, Duration),
+) -> Result<Answered, Status> {
     let (most, last) = request.split_at(request.len().saturating_sub(1));
     let mut written = 0;
     let talked = until(deadline, async {
         let mut stream = &link.stream;
         stream.write_all(most).await?;
-        Timer::after(times::last_byte(link.trip)).await;
+        Timer::after(times::last_byte(link.trip, pause)).await;
+        if !link.quiet() {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        }
         talk(&link.stream, last, false, &ANSWER, &mut written).await
     });
     match talked.await {
-        Timed::Done(Ok((response, keep))) => {
-            if keep {
-                links.put(server, link);
-            }
-            Ok(response)
-        }
+        Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(link))),
         end => Err(match (written == 0, matches!(end, Timed::Late)) {
             (true, false) => Status::Broken,
             (true, true) => Status::Moot,
@@ -156,8 +166,17 @@
     let mut request = Vec::new();
     let host = to.to_string();
     write_request(&mut request, "GET", path, [("host", host.as_bytes())].into_iter(), Body::None);
-    let mut ended = attempt(links, site, (server, to), &request, times).await;
-    let told: Option<Load> = ended.response.as_ref().and_then(|r| answer::load(site, &r.body));
+    let (response, link) = match exchange(links, (server, to), &request, times).await {
+        Ok(answered) => answered,
+        Err(status) => return bare(status),
+    };
+    let told: Option<Load> = answer::load(site, &response.body);
+    // Guards against a second copy of a request's answer that was taken for this one's: the answer to the probe would
+    // be served to the next request on the connection.
+    if let Some(link) = link.filter(|_| told.is_some() || !reports || response.head.status() != 200) {
+        links.put(server, link);
+    }
+    let mut ended = ended(site, response);
     ended.load = told.or(ended.load);
     ended.response = None;
     ended
--- /dev/null
+++ b/crates/node/tests/attempts.rs
@@ -0,0 +1,170 @@
+//! What the end of an attempt's connection proves, step by step: the attempt is moved on by hand, so that what its
+//! server does comes before the last byte, or after it, however busy the machine is.
+
+use async_io::{block_on, Async};
+use frostgauge::{ServerId, Status};
+use frostgauge_gateway::upstream::Ended;
+use frostgauge_node::links::Links;
+use frostgauge_node::upstream::{attempt, probe, Times};
+use frostgauge_platform::settings::{self, Column, Site};
+use futures_lite::future::poll_once;
+use std::future::Future;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::pin::{pin, Pin};
+use std::time::{Duration, Instant};
+
+const SERVER: ServerId = ServerId(1);
+const REQUEST: &[u8] = b"POST /loss-report/7 HTTP/1.1\r\nx-txn: 1\r\ncontent-length: 4\r\n\r\nhail";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+/// Longer than anything here takes; only a failing test waits so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn site() -> Site {
+    let object = serde_json::json!({
+        "me": 0, "siblings": 1, "az": 0, "tickUs": 2000, "classes": [], "plans": [], "stats": {},
+        "familyInfo": {}, "limits": {"maxRetryAfterUs": 0, "attemptsCap": 1},
+        "rules": {"graceToAnswerUs": 0, "coldFrom": 1.0, "warmAfterUs": 0, "fallMultiple": 1.0, "tipAfterUs": 0},
+    });
+    settings::read(&object).expect("settings")
+}
+
+fn times() -> Times {
+    let now = Instant::now();
+    // The last byte waits far longer than what is done meanwhile takes.
+    let pause = (Duration::from_secs(1), Duration::from_secs(1));
+    Times { connect: PATIENCE, first_byte: now + PATIENCE, deadline: now + PATIENCE, pause }
+}
+
+/// A server's side of a connection.
+fn accepted(listener: &TcpListener) -> TcpStream {
+    let stream = listener.accept().expect("accepted").0;
+    stream.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+    stream
+}
+
+/// Moves the attempt on until its server's side has bytes; it stands before its last byte then.
+fn until_first_bytes(attempt: Pin<&mut impl Future<Output = Ended>>, theirs: &TcpStream) {
+    let mut attempt = attempt;
+    let end = Instant::now() + PATIENCE;
+    loop {
+        assert!(block_on(poll_once(attempt.as_mut())).is_none(), "it has not ended");
+        // This waits for what has just been written before the attempt is moved on.
+        match theirs.peek(&mut [0; 512]) {
+            Ok(n) => return assert_eq!(n, REQUEST.len() - 1, "the last byte waits"),
+            Err(e) => assert!(matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut), "{e}"),
+        }
+        assert!(Instant::now() < end, "no byte came");
+    }
+}
+
+/// Resets a connection: it is closed with something unread. What is sent later over loopback comes later, so once a
+/// byte behind it is here, the other side has heard.
+fn reset(theirs: TcpStream, listener: &TcpListener) {
+    let to = listener.local_addr().expect("an address");
+    let (mut one, mut other) =
+        (TcpStream::connect(to).expect("connected"), listener.accept().expect("accepted").0);
+    drop(theirs);
+    one.write_all(b"x").expect("written");
+    other.read_exact(&mut [0]).expect("a byte");
+}
+
+/// Reads the whole request and answers it.
+fn serve(theirs: &mut TcpStream) {
+    let mut request = vec![0; REQUEST.len()];
+    theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+    theirs.read_exact(&mut request).expect("a whole request");
+    assert_eq!(request, REQUEST);
+    theirs.write_all(ANSWER).expect("answered");
+}
+
+#[test]
+fn a_kept_connection_reset_before_the_last_byte_gives_way_to_a_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let ours = TcpStream::connect(to).expect("connected");
+    let place = links.place().expect("room");
+    links.put(SERVER, Links::link(Async::new(ours).expect("registered"), place, Duration::ZERO));
+    let theirs = accepted(&listener);
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    until_first_bytes(running.as_mut(), &theirs);
+    reset(theirs, &listener);
+    let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
+    assert_eq!(block_on(running).status, Status::Ok);
+    server.join().expect("served once, on the new connection");
+}
+
+#[test]
+fn a_second_copy_that_comes_before_the_last_byte_is_nobodys_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
+    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
+    let mut theirs = accepted(&listener);
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    until_first_bytes(running.as_mut(), &theirs);
+    theirs.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold").expect("written");
+    let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
+    let ended = block_on(running);
+    assert_eq!(ended.response.expect("an answer").body, b"ok");
+    server.join().expect("served once, on the new connection");
+}
+
+/// What a probe's answer leaves of its connection.
+fn kept_after_probe(answer: &'static [u8]) -> usize {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (mut site, links) = (site(), Links::new(2, PATIENCE));
+    site.columns = vec![Column::Inflight];
+    let server = std::thread::spawn(move || {
+        let mut theirs = accepted(&listener);
+        theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            theirs.read_exact(&mut byte).expect("a request");
+            request.push(byte[0]);
+        }
+        theirs.write_all(answer).expect("answered");
+        theirs
+    });
+    assert_eq!(block_on(probe(&links, &site, (SERVER, to), times())).status, Status::Ok);
+    let _open = server.join().expect("answered");
+    links.idle()
+}
+
+#[test]
+fn a_connection_whose_probe_brought_no_report_carries_no_request() {
+    let report = b"HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"inflight\":1}";
+    assert_eq!(kept_after_probe(report), 1);
+    assert_eq!(kept_after_probe(ANSWER), 0, "a second copy, say");
+}
+
+#[test]
+fn a_new_connection_reset_before_the_last_byte_has_not_run_its_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    assert!(block_on(poll_once(running.as_mut())).is_none());
+    let theirs = accepted(&listener);
+    until_first_bytes(running.as_mut(), &theirs);
+    reset(theirs, &listener);
+    assert_eq!(block_on(running).status, Status::Broken, "never run");
+}
+
+#[test]
+fn a_connection_that_ends_after_the_last_byte_may_have_run_its_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let server = std::thread::spawn(move || {
+        let mut theirs = accepted(&listener);
+        theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+        theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+    });
+    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, times())).status, Status::Reset);
+    server.join().expect("took it");
+}
