--- a/crates/frostgauged/tests/clients.rs
+++ b/crates/frostgauged/tests/clients.rs
@@ -306,3 +306,14 @@
     assert_eq!(gateway.client().say(&request(&id(), true)).status(), 200);
     assert_eq!(servers[0].ids().len(), before + 1);
 }
+
+#[test]
+fn where_there_is_no_memory_for_contents_and_answers_all_is_refused_or_failed_in_words() {
+    let server = Server::start(serve());
+    let discovery = Discovery::start(vec![server.entry("s-0", "up")]);
+    let gateway = Gateway::limited(&discovery, settings(), 0);
+    let mut client = gateway.client();
+    assert_eq!(client.say(&request(&id(), false)).status(), 502, "it has run, and its answer cannot be held");
+    assert_eq!(client.say(&request(&id(), true)).status(), 503, "its content cannot be held");
+    assert_eq!(server.ids().len(), 1);
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -149,12 +149,19 @@
         };
         let close = !persists || self.closing.begun();
         let mut out = Vec::new();
+        let mut room = None;
         match answer {
             Reply::Node(node) => {
-                let kind = node.head.one("content-type").map(|k| ("content-type", k.as_bytes()));
-                let end = close.then_some(("connection", &b"close"[..]));
-                out.reserve(node.body.len() + 160);
-                write_response(&mut out, 200, kind.into_iter().chain(end), Body::Whole(&node.body));
+                room = front.bytes.take(node.body.len());
+                if room.is_some() {
+                    let kind = node.head.one("content-type").map(|k| ("content-type", k.as_bytes()));
+                    let end = close.then_some(("connection", &b"close"[..]));
+                    out.reserve(node.body.len() + 160);
+                    write_response(&mut out, 200, kind.into_iter().chain(end), Body::Whole(&node.body));
+                } else {
+                    // Guards against answers that hundreds of clients do not read: memory ends before the seats do.
+                    own(&mut out, 502, None, close, "no room for the answer");
+                }
             }
             Reply::Own(answer) => {
                 let (status, wait) = word(&answer);
@@ -163,7 +170,7 @@
         }
         let written = self.write(&out).await;
         // The id is free once the answer is out, not before.
-        drop(open);
+        drop((open, room));
         written?;
         Ok(!close)
     }
