--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -98,6 +98,10 @@
     times: Times,
 ) -> Result<Answered, Status> {
     let Times { connect, first_byte, deadline, pause } = times;
+    // A process that got no time for so long may have missed that the server was told to drain.
+    if Instant::now() > first_byte {
+        return Err(Status::Moot);
+    }
     if let Some(link) = links.take(server) {
         match converse(link, request, deadline, pause).await {
             // A kept connection that its server had dropped, or that brought something unasked for: not a whole
--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -155,6 +155,22 @@
     assert_eq!(block_on(running).status, Status::Broken, "never run");
 }
 
+#[test]
+fn an_attempt_that_got_no_time_until_its_first_byte_was_due_is_not_made() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
+    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
+    let theirs = accepted(&listener);
+    let late = Times { first_byte: Instant::now() - Duration::from_millis(1), ..times() };
+    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, late)).status, Status::Moot);
+    let nothing = theirs.peek(&mut [0]).expect_err("not one byte, and the connection stands");
+    assert!(matches!(nothing.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut));
+    listener.set_nonblocking(true).expect("set");
+    assert!(listener.accept().is_err(), "nor a new connection");
+}
+
 #[test]
 fn a_connection_that_ends_after_the_last_byte_may_have_run_its_request() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
