Attempts out far longer than answers take hold no room; answers that stop short end

Each such attempt is out until its request's deadline, some 2 s: 12 attempts on the mean over four gateways whose bounds are 6 to 9 each. Lines at fault: choice.rs, pressed counts out_now whatever its age; upstream.rs, converse waits for the rest of an answer until the deadline.

Change: an attempt out for over four times the mean time to answer (measured, or the one aimed at where that is more) counts no more for the bound; in a jam the mean is high and all count. And an answer has as long from its first byte to its last as a connection has to stand (250 ms here; interim answers count by themselves); then the attempt has ended and may have run, so that what may be repeated is repeated while there is time.

Tests: tests/pressure.rs, attempts.rs.

--- a/crates/hosting/src/times.rs
+++ b/crates/hosting/src/times.rs
@@ -37,6 +37,9 @@
     pub idle: Duration,
     /// Least and longest time between a request's other bytes and its last one.
     pub pause: (Duration, Duration),
+    /// From an answer's first byte to its last, at most. As long as a connection may take to stand: an answer is
+    /// 64 KiB at most, and written at once.
+    pub whole: Duration,
 }
 
 impl Links {
@@ -45,7 +48,13 @@
         let told = |us: u64, or: Duration| if us > 0 { Duration::from_micros(us) } else { or };
         let connect = told(connect_us, UNTOLD.0);
         let idle = if idle_us > 0 { Duration::from_micros(idle_us) * 3 / 4 } else { UNTOLD.1 };
-        Links { connect, first_byte: told(drain_grace_us, connect).min(2 * connect), idle, pause: PAUSE }
+        Links {
+            connect,
+            first_byte: told(drain_grace_us, connect).min(2 * connect),
+            idle,
+            pause: PAUSE,
+            whole: connect,
+        }
     }
 }
 
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -95,21 +95,37 @@
     limits: &Limits,
     written: &mut usize,
 ) -> io::Result<(Response, bool)> {
-    let bad = |e| io::Error::new(io::ErrorKind::InvalidData, e);
     while *written < request.len() {
         match stream.write(&request[*written..]).await? {
             0 => return Err(io::ErrorKind::WriteZero.into()),
             n => *written += n,
         }
     }
+    receive(stream, to_head, limits, None).await
+}
+
+/// Reads a response, and whether the connection may go on. `whole`: how long a response may take from its first byte
+/// to its last; interim ones count by themselves.
+///
+/// # Errors
+/// Those of the stream, bytes that are no response, and one that stops short (`TimedOut`).
+pub async fn receive(
+    stream: &Async<TcpStream>,
+    to_head: bool,
+    limits: &Limits,
+    whole: Option<Duration>,
+) -> io::Result<(Response, bool)> {
+    let bad = |e| io::Error::new(io::ErrorKind::InvalidData, e);
     let mut buf = Vec::new();
+    // When the response being read began.
+    let mut begun = None;
     let head = loop {
         let mut reader = HeadReader::default();
         let end = loop {
             if let Some(end) = reader.push(&buf, limits).map_err(bad)? {
                 break end;
             }
-            if read_some(&mut stream, &mut buf).await? == 0 {
+            if piece(stream, &mut buf, &mut begun, whole).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         };
@@ -119,6 +135,7 @@
         if head.status() >= 200 {
             break head;
         }
+        begun = (!buf.is_empty()).then(Instant::now);
     };
     let framing = head.response_framing(to_head).map_err(bad)?;
     let mut reader = BodyReader::new(framing, limits).map_err(bad)?;
@@ -131,7 +148,7 @@
             break;
         }
         buf.clear();
-        if read_some(&mut stream, &mut buf).await? == 0 {
+        if piece(stream, &mut buf, &mut begun, whole).await? == 0 {
             if reader.ends_with_close() {
                 break;
             }
@@ -142,3 +159,24 @@
     let keep = head.persists() && framing != Framing::UntilClose && rest == 0;
     Ok((Response { head, body }, keep))
 }
+
+/// Reads once, within the time for a response that has begun.
+async fn piece(
+    mut stream: &Async<TcpStream>,
+    buf: &mut Vec<u8>,
+    begun: &mut Option<Instant>,
+    whole: Option<Duration>,
+) -> io::Result<usize> {
+    match begun.zip(whole) {
+        None => {
+            let n = read_some(&mut stream, buf).await?;
+            *begun = Some(Instant::now());
+            Ok(n)
+        }
+        // What is here already is taken however late this process looks.
+        Some((at, whole)) => match until(at + whole, read_some(&mut stream, buf)).await {
+            Timed::Done(n) => n,
+            Timed::Late => Err(io::ErrorKind::TimedOut.into()),
+        },
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 mod stream;
 
 pub use accept::{accept, listen, or_closing, Closing, Hold, Place, Places};
-pub use exchange::{exchange, talk, End, Response};
+pub use exchange::{exchange, receive, talk, End, Response};
 pub use pool::Pool;
 pub use staff::{ask, pages, Page};
 pub use stream::{exhausted, read_some, until, Timed};
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -130,8 +130,8 @@
 
 impl Platform {
     fn times(&self, timeout: Duration) -> Times {
-        let (now, times::Links { connect, first_byte, pause, .. }) = (Instant::now(), self.times);
-        Times { connect, first_byte: now + first_byte, deadline: now + timeout, pause }
+        let (now, times::Links { connect, first_byte, pause, whole, .. }) = (Instant::now(), self.times);
+        Times { connect, first_byte: now + first_byte, deadline: now + timeout, pause, whole }
     }
 }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -5,7 +5,7 @@
 use frostgauge::{Load, ServerId, Status};
 use frostgauge_gateway::upstream::Ended;
 use frostgauge_hosting::times;
-use frostgauge_net::{exhausted, talk, until, Response, Timed};
+use frostgauge_net::{exhausted, receive, until, Response, Timed};
 use frostgauge_platform::{answer, request, settings::Site};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
 use futures_lite::AsyncWriteExt;
@@ -56,6 +56,9 @@
     pub deadline: Instant,
     /// Least and longest time between a request's other bytes and its last one.
     pub pause: (Duration, Duration),
+    /// From an answer's first byte to its last, at most: guards against answers that stop short on a connection that
+    /// stays open, for which a request that may be repeated would wait until its time is over.
+    pub whole: Duration,
 }
 
 fn bare(status: Status) -> Ended {
@@ -97,13 +100,13 @@
     request: &[u8],
     times: Times,
 ) -> Result<Answered, Status> {
-    let Times { connect, first_byte, deadline, pause } = times;
+    let Times { connect, first_byte, deadline, pause, whole } = times;
     // A process that got no time for so long may have missed that the server was told to drain.
     if Instant::now() > first_byte {
         return Err(Status::Moot);
     }
     if let Some(link) = links.take(server) {
-        match converse(link, request, deadline, pause).await {
+        match converse(link, request, deadline, (pause, whole)).await {
             // A kept connection that its server had dropped, or that brought something unasked for: not a whole
             // request went out, so no attempt was made.
             Err(Status::Broken) => {}
@@ -125,7 +128,7 @@
         return Err(Status::Moot);
     }
     let _ = stream.get_ref().set_nodelay(true);
-    converse(Links::link(stream, place, began.elapsed()), request, deadline, pause).await
+    converse(Links::link(stream, place, began.elapsed()), request, deadline, (pause, whole)).await
 }
 
 /// Writes a request on a connection and reads its answer.
@@ -139,7 +142,7 @@
     link: Link,
     request: &[u8],
     deadline: Instant,
-    pause: (Duration, Duration),
+    (pause, whole): ((Duration, Duration), Duration),
 ) -> Result<Answered, Status> {
     let (most, last) = request.split_at(request.len().saturating_sub(1));
     let mut written = 0;
@@ -150,7 +153,9 @@
         if !link.quiet() {
             return Err(std::io::ErrorKind::InvalidData.into());
         }
-        talk(&link.stream, last, false, &ANSWER, &mut written).await
+        stream.write_all(last).await?;
+        written = last.len();
+        receive(&link.stream, false, &ANSWER, Some(whole)).await
     });
     match talked.await {
         Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(link))),
--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -33,7 +33,7 @@
     let now = Instant::now();
     // The last byte waits far longer than what is done meanwhile takes.
     let pause = (Duration::from_secs(1), Duration::from_secs(1));
-    Times { connect: PATIENCE, first_byte: now + PATIENCE, deadline: now + PATIENCE, pause }
+    Times { connect: PATIENCE, first_byte: now + PATIENCE, deadline: now + PATIENCE, pause, whole: PATIENCE }
 }
 
 /// A server's side of a connection.
@@ -171,6 +171,30 @@
     assert!(listener.accept().is_err(), "nor a new connection");
 }
 
+#[test]
+fn an_answer_that_stops_short_ends_the_attempt_before_its_time_is_over() {
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    for short in [&ANSWER[..5], &ANSWER[..ANSWER.len() - 1]] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let server = std::thread::spawn(move || {
+            let mut theirs = accepted(&listener);
+            theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+            theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+            // An interim one has nothing to do with how long the answer takes.
+            theirs.write_all(b"HTTP/1.1 102 Processing\r\n\r\n").expect("written");
+            std::thread::sleep(Duration::from_millis(50));
+            theirs.write_all(short).expect("written");
+            // The connection stays open until the other side closes it.
+            let _ = theirs.read(&mut [0]);
+        });
+        let times = Times { whole: Duration::from_millis(20), ..times() };
+        assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, times)).status, Status::Reset);
+        server.join().expect("closed by the gateway");
+    }
+    assert_eq!(links.idle(), 0);
+}
+
 #[test]
 fn a_connection_that_ends_after_the_last_byte_may_have_run_its_request() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,7 @@
 const USUAL: (f64, f64) = (0.7, 0.02); // rank: most tries are first ones; step, of the deadline
 const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
 const STRAIN_GAIN: f64 = 0.05; // weight of one answer in the mean time to answer: some twenty answers
+const LOST: f64 = 4.0; // mean times to answer; an attempt out for longer is lost rather than slow
 const LEAST_ROOM: f64 = 0.5; // part of the room open to what earns nothing; the dearest has it all
 const RETRIES: (f64, f64) = (0.15, 10.0); // further attempts per first attempt; most saved up
 
@@ -304,7 +305,7 @@
     strain: f64,
     dearest: f64,
     usual: Vec<f64>,
-    out_now: u32,
+    out: BTreeSet<(Micros, RequestId, u32)>, // attempts out, by when they were sent
     out_mean: f64,
     out_at: Micros,
     retries: f64,
@@ -543,19 +544,30 @@
         let part = FLOOR_HELD * ready / self.settings.gateways as f64;
         let floor = slow * part;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S));
-        let out = f64::from(self.out_now);
+        let out = self.out.len() as f64;
         // Only there: guards against few gateways that refuse all for a second, with nothing out, because
         // slow answers lowered the bound and the mean still shows the jam that is over.
         if bound < FEW && part < FEW {
             return self.out_mean >= room * bound || out >= FEW;
         }
-        out >= room * bound + bound.sqrt()
+        self.working(now) >= room * bound + bound.sqrt()
+    }
+
+    /// Attempts out that the back end may still be at: those out for several times what answers take are on
+    /// their way to nowhere. Guards against connections that fell silent, each of which held room until its
+    /// request's time was over. In a jam answers take longer, and all that is out counts; it does so too where
+    /// a gateway's part is a few attempts: among hundreds, slow ones hold more room than lost ones.
+    fn working(&self, now: Micros) -> f64 {
+        let aim = self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
+        let lost = now.saturating_sub((LOST * aim * self.strain.max(ANSWER_OF_AIM)) as Micros);
+        let lost = self.out.range(..(lost, RequestId(0), 0)).count();
+        (self.out.len() - lost) as f64
     }
 
     /// Brings the mean of the attempts out up to now, before their number changes.
     fn tally(&mut self, now: Micros) {
         let keep = fade(now.saturating_sub(self.out_at), MEMORY_S);
-        self.out_mean = self.out_mean * keep + f64::from(self.out_now) * (1.0 - keep);
+        self.out_mean = self.out_mean * keep + self.out.len() as f64 * (1.0 - keep);
         self.out_at = now;
     }
 
@@ -608,12 +620,12 @@
         let timeout = r.deadline - now;
         self.sends.add(now, 1.0, MEMORY_S);
         self.tally(now);
-        self.out_now += 1;
         if let (Some(x), Some(r)) = (self.servers.get_mut(&server), self.requests.get_mut(&id)) {
             let held = x.holds(now);
             x.open += 1;
             x.credit -= 1.0;
             self.gate.sent(now, id, x.entry.zone);
+            self.out.insert((now, id, r.attempts.len() as u32));
             r.attempts.push(Attempt { server, sent: now, open: true, may_have_run: false, held });
             out.push(Action::Send { id, server, timeout });
         }
@@ -673,10 +685,10 @@
         a.open = false;
         let unseen = [Status::Full, Status::ConnectFailed, Status::Broken, Status::Moot];
         a.may_have_run = !unseen.contains(&status);
-        let (server, held, aim) = (a.server, a.held, self.settings.classes[r.class].aim);
+        let (server, held, aim, sent) = (a.server, a.held, self.settings.classes[r.class].aim, a.sent);
         let (done, kind, late, aim) = (r.done, (r.class, r.plan), took >= aim, seconds(aim));
         self.tally(now);
-        self.out_now = self.out_now.saturating_sub(1);
+        self.out.remove(&(sent, id, attempt));
         // No answer at all says that it would have been late, not how late. Guards against a few
         // connections that fell silent: each counted as four aims, and all was refused as in a jam while
         // answers took a tenth of one.
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -85,3 +85,29 @@
     };
     assert_eq!(taken_after(2 * S), taken_after(600 * MS), "how long nothing came says nothing more");
 }
+
+/// How many requests go out at once beside so many that have been out for a second, after answers that took so long.
+fn room_beside(silent: u64, took: Micros) -> usize {
+    let mut rig = rig();
+    for k in 0..60 {
+        let (id, actions) = rig.request(1, k, 2 * S);
+        let server = sent(&actions).expect("room for one");
+        rig.run_to(rig.now + took);
+        rig.ended(id, 0, server, Status::Ok, took);
+    }
+    for k in 0..silent {
+        assert!(sent(&rig.request(1, 100 + k, 2 * S).1).is_some());
+    }
+    rig.run_to(rig.now + S);
+    taken(&mut rig, 1)
+}
+
+#[test]
+fn attempts_that_fell_silent_hold_no_room_once_answers_would_have_come() {
+    assert_eq!(room_beside(6, 30 * MS), room_beside(0, 30 * MS));
+}
+
+#[test]
+fn in_a_jam_all_that_is_out_holds_room() {
+    assert_eq!(room_beside(4, 550 * MS) + 4, room_beside(0, 550 * MS));
+}
