--- a/src/choice.rs
+++ b/src/choice.rs
@@ -555,8 +555,8 @@
 
     /// Attempts out that the back end may still be at: those out for several times what answers take are on
     /// their way to nowhere. Guards against connections that fell silent, each of which held room until its
-    /// request's time was over. In a jam answers take longer, and all that is out counts; it does so too where
-    /// a gateway's part is a few attempts: among hundreds, slow ones hold more room than lost ones.
+    /// request's time was over. In a jam answers take longer, and all that is out counts; so it does where a
+    /// gateway's part is a few attempts: among hundreds, slow ones hold more room than lost ones.
     fn working(&self, now: Micros) -> f64 {
         let aim = self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
         let lost = now.saturating_sub((LOST * aim * self.strain.max(ANSWER_OF_AIM)) as Micros);
