The success that is usual is looked at once a round, not at each outcome

Need: read again, judge's measure of what is usual sorts the success of all ready servers at each outcome (choice.rs, outcome). Also: pauses and bounds that stood in node's sockets (how often idle connections are looked through, requests open where nothing is told) are hosting's; a datagram socket whose error stays no longer takes the core; a test's set-up written three times is one.

--- a/crates/hosting/src/shares.rs
+++ b/crates/hosting/src/shares.rs
@@ -7,6 +7,9 @@
 /// Most bytes of one answer's content.
 const ANSWER: usize = 64 << 10;
 
+/// Most requests open at once, where the settings tell no other number: over any number of clients' seats.
+pub const MOST_OPEN: usize = 20_000;
+
 /// Descriptors for each side, so that neither can starve the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
--- a/crates/hosting/src/times.rs
+++ b/crates/hosting/src/times.rs
@@ -19,6 +19,10 @@
 pub const ACCEPT: Duration = Duration::from_millis(600);
 /// The end comes this long after the longest deadline at the latest: what is being written is finished.
 pub const SLACK: Duration = Duration::from_millis(400);
+/// How often idle connections to servers are looked through.
+pub const SWEEP: Duration = Duration::from_millis(500);
+/// Pause after a datagram socket's error.
+pub const PEERS_PAUSE: Duration = Duration::from_millis(10);
 /// Where the settings tell no time for connecting, and none for idle connections.
 const UNTOLD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(10));
 /// Least and longest time between a request's other bytes and its last one.
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -12,7 +12,7 @@
 use frostgauge_gateway::core::{Ask, Command, Core, Input};
 use frostgauge_gateway::engine::{self, Attempt, Inside, Message, Outside};
 use frostgauge_gateway::upstream::Ended;
-use frostgauge_hosting::shares::Shares;
+use frostgauge_hosting::shares::{Shares, MOST_OPEN};
 use frostgauge_hosting::times;
 use frostgauge_platform::config::Config;
 use frostgauge_platform::request::Request;
@@ -24,11 +24,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// How often idle connections are looked through.
-const SWEEP: Micros = 500_000;
-/// Most requests open at once, where the settings tell no other number: over any number of clients' seats.
-const MOST_OPEN: usize = 20_000;
-
 /// The handle of such an engine.
 pub type Handle = engine::Handle<Platform>;
 /// A call of such an engine.
@@ -234,7 +229,7 @@
     }
 
     fn rest(&mut self, now: Micros, _: Inside<'_>) {
-        if now >= self.swept + SWEEP {
+        if now >= self.swept + times::SWEEP.as_micros() as Micros {
             self.swept = now;
             self.links.sweep();
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,8 +2,9 @@
 
 use crate::outside::Platform;
 use async_channel::Sender;
-use async_io::Async;
+use async_io::{Async, Timer};
 use frostgauge_gateway::engine::Message;
+use frostgauge_hosting::times::PEERS_PAUSE;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -56,8 +57,9 @@
         let mut buf = [0; MOST + 1];
         loop {
             let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
-                // A peer's closed port shows up here; it says nothing about this socket.
-                futures_lite::future::yield_now().await;
+                // A peer's closed port shows up here; it says nothing about this socket. Guards against an error that
+                // stays, for which this loop would take the whole core.
+                Timer::after(PEERS_PAUSE).await;
                 continue;
             };
             let Some(from) = self.numbers.get(&from).copied().filter(|_| n <= MOST) else { continue };
--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -43,6 +43,15 @@
     stream
 }
 
+/// Links with one kept connection, and its server's side.
+fn kept(listener: &TcpListener) -> (Links, TcpStream) {
+    let links = Links::new(2, PATIENCE);
+    let to = listener.local_addr().expect("an address");
+    let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
+    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
+    (links, accepted(listener))
+}
+
 /// Moves the attempt on until its server's side has bytes; it stands before its last byte then.
 fn until_first_bytes(attempt: Pin<&mut impl Future<Output = Ended>>, theirs: &TcpStream) {
     let mut attempt = attempt;
@@ -82,11 +91,7 @@
 fn a_kept_connection_reset_before_the_last_byte_gives_way_to_a_new_one() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
-    let ours = TcpStream::connect(to).expect("connected");
-    let place = links.place().expect("room");
-    links.put(SERVER, Links::link(Async::new(ours).expect("registered"), place, Duration::ZERO));
-    let theirs = accepted(&listener);
+    let (site, (links, theirs)) = (site(), kept(&listener));
     let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
     until_first_bytes(running.as_mut(), &theirs);
     reset(theirs, &listener);
@@ -99,10 +104,7 @@
 fn a_second_copy_that_comes_before_the_last_byte_is_nobodys_answer() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
-    let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
-    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
-    let mut theirs = accepted(&listener);
+    let (site, (links, mut theirs)) = (site(), kept(&listener));
     let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
     until_first_bytes(running.as_mut(), &theirs);
     theirs.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold").expect("written");
@@ -159,10 +161,7 @@
 fn an_attempt_that_got_no_time_until_its_first_byte_was_due_is_not_made() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
-    let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
-    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
-    let theirs = accepted(&listener);
+    let (site, (links, theirs)) = (site(), kept(&listener));
     let late = Times { first_byte: Instant::now() - Duration::from_millis(1), ..times() };
     assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, late)).status, Status::Moot);
     let nothing = theirs.peek(&mut [0]).expect_err("not one byte, and the connection stands");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -303,6 +303,7 @@
     sends: Rate,
     flow: Rate,
     strain: f64,
+    usual_ok: f64, // the success that half of the ready servers reach, as of the last round
     dearest: f64,
     usual: Vec<f64>,
     out: BTreeSet<(Micros, RequestId, u32)>, // attempts out, by when they were sent
@@ -346,6 +347,7 @@
             gate,
             life: (seed ^ (seed >> 32)) as u32 & 0xff_ffff,
             launched: now,
+            usual_ok: 1.0,
             dearest: worth * price,
             usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             retries: RETRIES.1 / 2.0,
@@ -700,7 +702,7 @@
         if status == Status::Ok {
             self.flow.add(now, ANSWER_OF_AIM * aim, MEMORY_S);
         }
-        let usual = self.usual_success(now);
+        let usual = self.usual_ok;
         if let Some(x) = self.servers.get_mut(&server) {
             x.open = x.open.saturating_sub(1);
             match status {
@@ -733,7 +735,7 @@
         }
     }
 
-    /// The success that half of the ready servers reach.
+    /// The success that half of the ready servers reach; looked at once a round, since it takes all of them.
     fn usual_success(&self, now: Micros) -> f64 {
         let known = self.ready.iter().filter_map(|id| self.servers.get(id));
         let mut all: Vec<f64> = known.map(|x| x.success(now)).collect();
@@ -961,6 +963,7 @@
             }
         }
         self.tell(now, out);
+        self.usual_ok = self.usual_success(now);
         let warm = self.ready.len().max(1) as f64;
         let servers = &self.servers;
         self.ejected.retain(|id| servers.get(id).is_some_and(|x| x.ejected > now));
