--- a/crates/frostgauged/tests/clients.rs
+++ b/crates/frostgauged/tests/clients.rs
@@ -91,6 +91,12 @@
         assert!(matches!(answer.status(), 0 | 400..=505), "{what}: {answer:?}");
         client.end();
     }
+    // A length and chunks together may hide another request in the content: told so, and closed.
+    let hides = String::from_utf8(request(&id(), true)).expect("text");
+    let hides = hides.replace("content-length: 4", "content-length: 4\r\ntransfer-encoding: chunked");
+    let mut client = gateway.client();
+    assert_eq!(client.say(&[hides.as_bytes(), &request(&id(), true)].concat()).status(), 400);
+    assert!(client.end().is_empty(), "what it hides is not answered");
     let usual = id();
     assert_eq!(gateway.client().say(&request(&usual, true)).status(), 200);
     assert_eq!(servers[0].ids(), [usual]);
--- a/crates/frostgauged/tests/life.rs
+++ b/crates/frostgauged/tests/life.rs
@@ -89,10 +89,13 @@
     let ready = || Client::to(address).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status();
     wait("listening", || TcpStream::connect(address).is_ok());
     assert_eq!(ready(), 503);
+    // Heeded before it is ready: it goes on, and does what it would have done.
+    rustix::process::kill_process(rustix::process::Pid::from_child(&child), Signal::HUP).expect("sent");
     let list = json!({"generation": 3, "reset": true, "instances": []}).to_string();
     let mut call = agent.accept().expect("a call").0;
     call.write_all(&answer(200, "", &list)).expect("written");
     wait("ready", || ready() == 200);
+    assert!(child.try_wait().expect("a child").is_none());
     child.kill().expect("ended");
     child.wait().expect("ended");
     let _ = std::fs::remove_dir_all(&folder);
