A fleet that comes back cold together gets work at once, within its cold budget

Seen: a test of the hard case "clock far off" (one server, startedAtMs at the end of time) was refused for ever. Cause by a probe in the module, two servers that start together before a gateway that had sent nothing: no request goes for the ten seconds until they are warm by time. Lines at fault, choice.rs: round gives a cold server a part of what a ready one gets from here (sends / warm); with all cold that is the parts themselves, so it sinks by COLD_SAFETY * fall_multiple * ramp and from nothing never rises; ramp takes a start in the future as one just now, for ever. Ruled out: the platform's reading (the largest number saturates), ejection, the bound.

Change: where no ready server is warm, the part is at least what the server does by its own answers (one over its time per request held), over all gateways, with the same safety, multiple and ramp. A start counts from when it was told at the latest.

Measured: the script serves from the first second, under the budget in each. Tests: tests/servers.rs, frostgauged/tests/servers.rs.

--- a/crates/frostgauged/tests/life.rs
+++ b/crates/frostgauged/tests/life.rs
@@ -79,12 +79,12 @@
 fn it_is_ready_only_once_it_knows_servers() {
     let (agent, folder, address) = (TcpListener::bind("127.0.0.1:0").expect("a port"), folder(), free());
     let path = folder.join("config.json");
+    let silent = agent.local_addr().expect("an address");
     let config = json!({
-        "name": "n0", "listen": address.to_string(), "discovery": "127.0.0.1:9", "seed": "1f",
+        "name": "n0", "listen": address.to_string(), "discovery": silent.to_string(), "seed": "1f",
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "settings": settings(),
     });
     std::fs::write(&path, config.to_string()).expect("written");
-    let silent = agent.local_addr().expect("an address");
     let mut child = program(address, silent, &path).spawn().expect("started");
     let ready = || Client::to(address).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status();
     wait("listening", || TcpStream::connect(address).is_ok());
@@ -92,8 +92,15 @@
     // Heeded before it is ready: it goes on, and does what it would have done.
     rustix::process::kill_process(rustix::process::Pid::from_child(&child), Signal::HUP).expect("sent");
     let list = json!({"generation": 3, "reset": true, "instances": []}).to_string();
-    let mut call = agent.accept().expect("a call").0;
-    call.write_all(&answer(200, "", &list)).expect("written");
+    // Calls made before the signal are dropped with it: each is answered.
+    std::thread::spawn(move || {
+        for call in agent.incoming().flatten() {
+            let mut call = std::io::BufReader::new(call);
+            if read(&mut call).is_some() {
+                let _ = call.get_mut().write_all(&answer(200, "", &list));
+            }
+        }
+    });
     wait("ready", || ready() == 200);
     assert!(child.try_wait().expect("a child").is_none());
     child.kill().expect("ended");
--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -197,6 +197,19 @@
     );
 }
 
+#[test]
+fn a_start_that_is_past_or_far_off_does_no_harm() {
+    for started in [1, u64::MAX / 2_000, u64::MAX] {
+        let server = Server::start(serve());
+        let mut listed = server.entry("s-0", "up");
+        listed["startedAtMs"] = json!(started);
+        let discovery = Discovery::start(vec![listed]);
+        let gateway = Gateway::start(&discovery);
+        let mut client = gateway.client();
+        wait("served", || client.say(&request(&id(), true)).status() == 200);
+    }
+}
+
 #[test]
 fn a_draining_server_gets_nothing_new() {
     let (servers, discovery, gateway) = stage(vec![serve(), serve()]);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -203,6 +203,7 @@
 #[derive(Default)]
 struct Server {
     entry: Entry,
+    start: Micros,
     open: u32,
     item_us: f64,
     others: f64,
@@ -226,7 +227,7 @@
         if self.entry.ready_at == 0 || rules.cold == 0 {
             return 1.0;
         }
-        let up = now.saturating_sub(self.entry.ready_at) as f64 / rules.cold as f64;
+        let up = now.saturating_sub(self.start) as f64 / rules.cold as f64;
         (rules.cold_from + (1.0 - rules.cold_from) * up).clamp(0.01, 1.0)
     }
 
@@ -793,7 +794,9 @@
             let item_us = if usual.is_finite() { usual } else { START_ITEM_US };
             // Gateways start at odds here too: together they send a cold server what their parts add up to.
             let credit = self.dice.roll();
-            let fresh = Server { entry, open, item_us, ok: 1.0, credit, ..Server::default() };
+            // A start in the time to come is one by a wrong clock: without this it would never grow warm.
+            let start = entry.ready_at.min(now);
+            let fresh = Server { entry, start, open, item_us, ok: 1.0, credit, ..Server::default() };
             self.servers.insert(id, Server { judged: now, ..fresh });
         }
         self.servers.retain(|_, x| x.entry.state != State::Gone || x.open > 0);
@@ -968,8 +971,14 @@
         let servers = &self.servers;
         self.ejected.retain(|id| servers.get(id).is_some_and(|x| x.ejected > now));
         let (sends, rules) = (self.sends.get(now, MEMORY_S), &self.settings.rules);
+        // Where none is warm, what we send is no guide: it would sink to nothing and stay there until they
+        // are warm by time alone. Guards against a fleet that comes back cold together, before gateways that
+        // sent nothing meanwhile. What a server does is guessed from our answers, and shared by all of us.
+        let all_cold = self.ready.iter().all(|id| servers[id].ramp(now, rules) < 1.0);
+        let gateways = self.settings.gateways as f64;
         for x in self.servers.values_mut() {
-            let part = COLD_SAFETY * rules.fall_multiple * x.ramp(now, rules) * sends / warm;
+            let does = if all_cold { 1e6 / x.item_us.max(1.0) / gateways } else { 0.0 };
+            let part = COLD_SAFETY * rules.fall_multiple * x.ramp(now, rules) * (sends / warm).max(does);
             let most = (part * seconds(rules.fall)).max(1.0);
             x.credit = (x.credit + part * seconds(ROUND)).clamp(-most, most);
         }
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -153,3 +153,36 @@
     assert!((1..=10).contains(&full), "{full} reports went to the server that takes none");
     assert!(reads >= 150, "{reads} of 200 reads went there");
 }
+
+/// Sends to each of two cold servers, none else being there, in each second of their first ten: forty requests a
+/// second of a gateway that has sent nothing before.
+fn sends_to_a_cold_fleet(start: Micros) -> Vec<[usize; 2]> {
+    let mut rig = Rig::new(Settings { gateways: 1, ..settings() }, &[]);
+    rig.run_to(100 * S);
+    let cold = |k| Entry { ready_at: start, ..entry(k, 0) };
+    rig.event(Event::Servers { kind: ListKind::Full, entries: vec![cold(1), cold(2)] });
+    let mut sends = vec![[0; 2]; 12];
+    for k in 0..480 {
+        rig.run_to(100 * S + k * 25 * MS);
+        for ServerId(server) in rig.play(1_000 + k, |_| Status::Ok) {
+            sends[k as usize / 40][server as usize - 1] += 1;
+        }
+    }
+    sends
+}
+
+#[test]
+fn a_fleet_that_comes_back_cold_together_gets_work_at_once_and_not_too_much() {
+    let sends = sends_to_a_cold_fleet(100 * S);
+    for (second, got) in sends.iter().enumerate().take(9) {
+        assert!(got[0] + got[1] > 0, "nothing in second {second}: {sends:?}");
+        // One that answers in 30 ms does some 33 a second; three times what it does while cold pushes it over.
+        let ramp = 0.2 + 0.8 * (second as f64 + 1.0) / 10.0;
+        assert!(got.iter().all(|n| (*n as f64) < 3.0 * 33.0 * ramp), "second {second}: {sends:?}");
+    }
+}
+
+#[test]
+fn a_start_in_the_time_to_come_counts_from_when_it_was_told() {
+    assert_eq!(sends_to_a_cold_fleet(Micros::MAX), sends_to_a_cold_fleet(100 * S));
+}
