--- a/src/choice.rs
+++ b/src/choice.rs
@@ -512,9 +512,9 @@
             }
             let wait = (x.holds(now) + 1.0) * x.item_us / ramp;
             let good = x.success(now);
-            // A cold server's part is kept by its credit: among many, what is due to it goes there. Guards against
-            // hundreds none of which sends a new server anything, as warm ones they see too seldom to know of
-            // any queue look faster: after a zone's return or a release half of a fleet stood idle.
+            // A cold server's part is kept by its credit: among many, what is due to it goes there. Guards
+            // against hundreds none of which sends a new server anything, as warm ones they see too seldom to
+            // know of any queue look faster: after a zone's return or a release half of a fleet stood idle.
             let due = if many && ramp < 1.0 { ramp / LAST_RESORT } else { 1.0 };
             let mut score = due * wait / (good * good).max(1e-3);
             if x.entry.zone != s.zone {
@@ -562,8 +562,8 @@
 
     /// Attempts out that the back end may still be at: those out for several times what answers take are on
     /// their way to nowhere. Guards against connections that fell silent, each of which held room until its
-    /// request's time was over; where a gateway's part is a few attempts, a zone cut off and slow servers held
-    /// most of it, and the cheaper class got nearly nothing. In a jam answers take longer, and all counts.
+    /// request's time was over; where a gateway's part is a few attempts, a zone cut off and slow servers
+    /// held most of it, and the cheaper class got nearly nothing. In a jam answers take longer: all counts.
     fn working(&self, now: Micros) -> f64 {
         let aim = self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0) as f64;
         let lost = now.saturating_sub((LOST * aim * self.strain.max(ANSWER_OF_AIM)) as Micros);
