Idempotency keys and other end-to-end fields are passed on to servers

Ruled out: method, path, body and id (unchanged); the module (a keyed class is known to it). Lines at fault: Forward::bytes in crates/node/src/upstream.rs passed on X-Txn and Content-Type alone. Change: every field goes on but those of one connection, those meant for the gateway, and what is written anew for each server.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -35,7 +35,10 @@
         let length = 64 - rest.len();
         let left = left.as_millis().to_string();
         let set: [(&str, &[u8]); 2] = [("host", &host[..length]), (request::LEFT, left.as_bytes())];
-        let passed = self.head.fields().filter(|(name, _)| *name == request::ID || *name == "content-type");
+        // Whatever is not for this hop goes on. Guards against a keyed request that loses its idempotency key on
+        // the way, which its server cannot take for the client's.
+        let here = |name: &str| request::ENDS_HERE.contains(&name) || self.head.hop_by_hop(name);
+        let passed = self.head.fields().filter(|(name, _)| !here(name));
         let mut out = Vec::with_capacity(256 + self.body.len());
         let none = self.body.is_empty() && self.head.method() == "GET";
         let body = if none { Body::None } else { Body::Whole(&self.body) };
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -10,6 +10,10 @@
 pub const ID: &str = "x-txn";
 /// The field of the time left.
 pub const LEFT: &str = "x-remaining-ms";
+/// Fields that are meant for the gateway, or written anew for each server (RFC 9110 section 7.6); beside those of one
+/// connection alone, all that is not passed on.
+pub const ENDS_HERE: [&str; 8] =
+    ["host", "content-length", "expect", "cookie", "x-tariff", "x-weight", "x-resent", LEFT];
 /// Longest id.
 const ID_MOST: usize = 64;
 /// Customers' numbers lie under this.
