--- a/crates/platform/src/targets.rs
+++ b/crates/platform/src/targets.rs
@@ -63,9 +63,13 @@
     /// Reads an answer's content.
     ///
     /// # Errors
-    /// What cannot be read.
-    pub fn read(json: &[u8]) -> Result<List, String> {
-        serde_json::from_slice(json).map_err(|e| e.to_string())
+    /// What cannot be read, with its place: one entry that makes no sense leaves the list that is held as it is.
+    pub fn read(text: &[u8]) -> Result<List, String> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let list = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        json.end().map_err(|e| e.to_string())?;
+        Ok(list)
     }
 }
 
