--- /dev/null
+++ b/crates/accord/src/follower.rs
@@ -0,0 +1,331 @@
+//! A follower: what its gateway may do now. Every gateway is one, keepers too.
+//!
+//! It asks all keepers alike, and acts under a version for as long as a majority of them has granted it, counted
+//! from its own sending of the question. Without that it acts on the ground of the version it stands on.
+
+use crate::allowance::{meet_all, Allowance};
+use crate::message::{versions, Answer, Ask, Message};
+use crate::record::{Gateway, Number, Version};
+use crate::tuning::{Micros, Tuning};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Questions whose answers may still come, most.
+const ASKED: usize = 64;
+/// Versions known at a time, most.
+const KNOWN: usize = 16;
+
+#[derive(Clone, Debug)]
+struct Grant {
+    config: u32,
+    seq: u64,
+    set: BTreeSet<Number>,
+    until: Micros,
+}
+
+/// What a gateway acts under.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Under {
+    /// A lease on what all of these versions allow, until a time.
+    Lease(BTreeSet<Number>, Micros),
+    /// The ground of a version; none: it has never known one.
+    Ground(Option<Number>),
+}
+
+impl Under {
+    /// The versions of the lease; empty on ground.
+    pub fn versions(&self) -> BTreeSet<Number> {
+        match self {
+            Under::Lease(set, _) => set.clone(),
+            Under::Ground(_) => BTreeSet::new(),
+        }
+    }
+}
+
+/// What a follower has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Questions sent, to all keepers alike.
+    pub asked: u64,
+    /// Answers that brought a grant.
+    pub granted: u64,
+    /// Answers of no use: to another life, to no question, late, or from no keeper.
+    pub strange: u64,
+    /// Versions refused: unreadable, faulty, or another under a known number.
+    pub refused: u64,
+}
+
+/// A follower.
+#[derive(Debug)]
+pub struct Follower {
+    me: Gateway,
+    tuning: Tuning,
+    life: u64,
+    seq: u64,
+    asked: BTreeMap<u64, Micros>,
+    configs: BTreeMap<u32, BTreeSet<Gateway>>,
+    grants: BTreeMap<Gateway, Grant>,
+    /// What earlier questions were granted is used only within these: since when, before which question, within what.
+    within: Option<(Micros, u64, BTreeSet<Number>)>,
+    known: BTreeMap<Number, Version>,
+    stands: Option<Number>,
+    stored: Option<Number>,
+    next_ask: Micros,
+    well: Option<(Number, bool)>,
+    rng: ChaCha8Rng,
+    tally: Tally,
+    out: Vec<(Gateway, Message)>,
+}
+
+impl Follower {
+    /// Starts. `life`: drawn anew by each process; no clock, so that none can step back. `stored`: the version
+    /// that it stood on before, if it kept it.
+    pub fn new(
+        now: Micros,
+        me: Gateway,
+        life: u64,
+        keepers: BTreeSet<Gateway>,
+        stored: Option<Version>,
+        tuning: Tuning,
+        seed: u64,
+    ) -> Follower {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let number = stored.as_ref().map(|v| v.number);
+        Follower {
+            me,
+            tuning,
+            life,
+            seq: 0,
+            asked: BTreeMap::new(),
+            configs: BTreeMap::from([(0, keepers)]),
+            grants: BTreeMap::new(),
+            within: None,
+            known: stored.into_iter().map(|v| (v.number, v)).collect(),
+            stands: number,
+            stored: number,
+            // All may start at once.
+            next_ask: now + rng.random_range(0..=tuning.spread),
+            well: None,
+            rng,
+            tally: Tally::default(),
+            out: vec![],
+        }
+    }
+
+    /// What it has seen.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// A version that it knows.
+    pub fn version(&self, number: Number) -> Option<&Version> {
+        self.known.get(&number)
+    }
+
+    /// The version it is to stand on and has not stored yet: to be stored, then told by [`Follower::stored`].
+    pub fn to_store(&self) -> Option<&Version> {
+        self.stands.filter(|n| self.stored != Some(*n)).and_then(|n| self.known.get(&n))
+    }
+
+    /// A version is stored: from now on the keepers may count on it.
+    pub fn stored(&mut self, number: Number) {
+        self.stored = Some(number);
+    }
+
+    /// How it goes under a version, for the keepers if this gateway is of the canary part.
+    pub fn report(&mut self, version: Number, well: bool) {
+        self.well = Some((version, well));
+    }
+
+    /// When [`Follower::advance`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.next_ask
+    }
+
+    fn keepers(&self) -> BTreeSet<Gateway> {
+        self.configs.values().next_back().cloned().unwrap_or_default()
+    }
+
+    /// Asks, if it is time.
+    pub fn advance(&mut self, now: Micros) {
+        if now < self.next_ask {
+            return;
+        }
+        // Jitter keeps those that once asked together from doing so for ever.
+        self.next_ask = now + self.tuning.ask - self.rng.random_range(0..=self.tuning.ask / 8);
+        self.seq += 1;
+        self.tally.asked += 1;
+        self.asked.insert(self.seq, now);
+        let late = now.saturating_sub(self.tuning.lease);
+        self.asked.retain(|_, at| *at >= late);
+        while self.asked.len() > ASKED {
+            self.asked.pop_first();
+        }
+        self.grants.retain(|_, g| g.until > now);
+        // What was granted before it has run out: it binds nothing any more.
+        self.within = self.within.take().filter(|(since, _, _)| since + self.tuning.lease > now);
+        let ask = Ask {
+            life: self.life,
+            seq: self.seq,
+            within: self.within.as_ref().map(|(_, before, set)| (*before, set.clone())),
+            stands: self.stored.unwrap_or(0),
+            knows: self.known.keys().copied().collect(),
+            canary: self.well,
+        };
+        for keeper in self.keepers() {
+            self.out.push((keeper, Message::Ask(ask.clone())));
+        }
+    }
+
+    /// What is to be sent.
+    pub fn take(&mut self) -> Vec<(Gateway, Message)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes a message from one whom the link has shown to be `from`.
+    pub fn handle(&mut self, now: Micros, from: Gateway, message: Message) {
+        match message {
+            Message::Answer(answer) => self.answered(now, from, &answer),
+            Message::Hint if self.keepers().contains(&from) => {
+                let soon = now + self.rng.random_range(0..=self.tuning.spread);
+                self.next_ask = self.next_ask.min(soon);
+            }
+            _ => self.tally.strange += 1,
+        }
+    }
+
+    fn answered(&mut self, now: Micros, from: Gateway, answer: &Answer) {
+        let sent = self.asked.get(&answer.seq).copied();
+        let keeps = answer.grant.is_none() || answer.keepers.contains(&from);
+        let (Some(sent), true) = (sent.filter(|_| answer.life == self.life), keeps) else {
+            self.tally.strange += 1;
+            return;
+        };
+        if !self.learn(answer) {
+            return;
+        }
+        let newest = self.configs.keys().next_back().copied().unwrap_or(0);
+        if answer.config > newest {
+            self.configs.insert(answer.config, answer.keepers.clone());
+            // Leases of the configuration before may still run; those of earlier ones do not.
+            while self.configs.len() > 2 {
+                self.configs.pop_first();
+            }
+        }
+        if answer.ground > self.stands.unwrap_or(0) && self.known.contains_key(&answer.ground) {
+            self.stands = Some(answer.ground);
+        }
+        self.forget();
+        let Some(set) = &answer.grant else { return };
+        if set.is_empty() || !set.iter().all(|n| self.known.contains_key(n)) {
+            return;
+        }
+        self.narrow(now, set);
+        let from_when = if self.tuning.counted_from_answer { now } else { sent };
+        let until = from_when + self.tuning.lease;
+        if self.grants.get(&from).is_some_and(|g| (g.config, g.seq) > (answer.config, answer.seq)) {
+            return;
+        }
+        let mut set = set.clone();
+        if let Some((_, before, within)) = &self.within {
+            if answer.seq < *before {
+                set.extend(within);
+            }
+        }
+        self.tally.granted += 1;
+        self.grants.insert(from, Grant { config: answer.config, seq: answer.seq, set, until });
+    }
+
+    /// Takes the versions that an answer brings; false if one of them is not to be taken.
+    fn learn(&mut self, answer: &Answer) -> bool {
+        for version in versions(answer) {
+            let taken = version.ok().filter(|v| {
+                let known = self.known.get(&v.number).is_none_or(|k| k == v);
+                let before = v.number.checked_sub(1).and_then(|n| self.known.get(&n));
+                let after = self.known.get(&(v.number + 1));
+                known
+                    && before.is_none_or(|b| v.follows(b).is_ok())
+                    && after.is_none_or(|a| a.follows(v).is_ok())
+            });
+            let Some(version) = taken else {
+                self.tally.refused += 1;
+                return false;
+            };
+            self.known.insert(version.number, version);
+        }
+        true
+    }
+
+    fn forget(&mut self) {
+        let used = |n: &Number| {
+            Some(*n) == self.stands
+                || Some(*n) == self.stored
+                || self.grants.values().any(|g| g.set.contains(n))
+                || self.within.as_ref().is_some_and(|(_, _, set)| set.contains(n))
+        };
+        while self.known.len() > KNOWN {
+            let Some(old) = self.known.keys().copied().find(|n| !used(n)) else { return };
+            self.known.remove(&old);
+        }
+    }
+
+    /// A newer version may come into force: what was granted before it is used only within what that allows too.
+    /// Keepers are told at once, and need not wait for the grants to run out.
+    fn narrow(&mut self, now: Micros, set: &BTreeSet<Number>) {
+        let acting = self.under(now).versions();
+        if acting.is_empty() || set.is_subset(&acting) || set.last() <= acting.last() {
+            return;
+        }
+        let mut within: BTreeSet<Number> = acting.union(set).copied().collect();
+        if let Some((_, _, earlier)) = &self.within {
+            within.extend(earlier);
+        }
+        self.seq += 1;
+        for grant in self.grants.values_mut() {
+            grant.set.extend(&within);
+        }
+        self.within = Some((now, self.seq, within));
+        self.next_ask = now;
+    }
+
+    /// What it acts under now. To be looked at right before each act: a process may have been stopped since the
+    /// last look.
+    pub fn under(&self, now: Micros) -> Under {
+        let mut best: Option<(BTreeSet<Number>, Micros)> = None;
+        for (config, keepers) in &self.configs {
+            let enough = self.tuning.enough(keepers.len());
+            let running: Vec<&Grant> = keepers
+                .iter()
+                .filter_map(|k| self.grants.get(k))
+                .filter(|g| g.config == *config && g.until > now)
+                .collect();
+            // What one keeper granted covers whatever is within it: the sets that some grant names, and all together.
+            let all: BTreeSet<Number> = running.iter().flat_map(|g| g.set.iter().copied()).collect();
+            for set in running.iter().map(|g| &g.set).chain([&all]) {
+                let mut untils: Vec<Micros> =
+                    running.iter().filter(|g| g.set.is_subset(set)).map(|g| g.until).collect();
+                untils.sort_unstable_by(|a, b| b.cmp(a));
+                let Some(until) = enough.checked_sub(1).and_then(|k| untils.get(k)) else { continue };
+                let better = best
+                    .as_ref()
+                    .is_none_or(|(b, _)| (set.len(), b.last(), b.len()) < (b.len(), set.last(), set.len()));
+                if better {
+                    best = Some((set.clone(), *until));
+                }
+            }
+        }
+        best.map_or(Under::Ground(self.stands), |(set, until)| Under::Lease(set, until))
+    }
+
+    /// What this gateway may do under that.
+    pub fn allowance(&self, under: &Under) -> Allowance {
+        match under {
+            Under::Lease(set, _) => meet_all(self.me, set.iter().filter_map(|n| self.known.get(n))),
+            Under::Ground(number) => {
+                let version = number.and_then(|n| self.known.get(&n));
+                version.map_or_else(Allowance::default, |v| v.rules.ground(self.me))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/keeper.rs
@@ -0,0 +1,584 @@
+//! A keeper: holds the record with the others, and gives leases on it.
+//!
+//! A lease needs the word of a majority of keepers, and a version comes into force by the word of a majority that
+//! none of their leases contradicts it. The two share a keeper, so no leader's memory, and no leader's clock, is
+//! relied on: a leader paused past everything and woken finds that its grants are worth nothing by themselves.
+
+use crate::disk::{Disk, Mirror, Stop};
+use crate::leases::Leases;
+use crate::machine::{Entry, Machine, Outcome, Proposal};
+use crate::message::{Answer, Ask, Base, Message};
+use crate::record::{Gateway, Number, Rules, MOST_BYTES};
+use crate::tuning::{Micros, Tuning};
+use frostgauge_storage::Storage;
+use omnipaxos::messages::Message as Paxos;
+use omnipaxos::storage::StopSign;
+use omnipaxos::util::LogEntry;
+use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Editors that wait for what becomes of a proposal, most.
+const WAITING: usize = 256;
+/// Something proposed and not seen in the log is proposed again after so many ticks.
+const AGAIN_TICKS: u64 = 10;
+/// Ticks without a leader's word before another may be chosen.
+const ELECTION_TICKS: u64 = 4;
+/// Gateways named in one entry, most.
+const STAND_MOST: usize = 512;
+/// An installation is sent to one peer no more often than this many ticks.
+const INSTALL_TICKS: u64 = 5;
+
+/// What a keeper has done, for operators and checks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Questions answered with a lease.
+    pub leases: u64,
+    /// Questions answered without one.
+    pub unleased: u64,
+    /// Messages of no use here: of another configuration, out of place, from one that is no keeper.
+    pub strange: u64,
+    /// Syncs of the disk.
+    pub syncs: u64,
+}
+
+/// A proposal of an entry that must come to be: when it was last made.
+type Made<K> = BTreeMap<K, Micros>;
+
+/// The seat of a keeper in a configuration.
+struct Seat {
+    omni: OmniPaxos<Entry, Mirror>,
+    applied: usize,
+    keepers: Vec<Gateway>,
+}
+
+/// A keeper.
+pub struct Keeper<S> {
+    me: Gateway,
+    tuning: Tuning,
+    disk: Disk<S>,
+    /// None: its disk is empty, or it is no keeper (any more).
+    seat: Option<Seat>,
+    machine: Option<Machine>,
+    config: u32,
+    /// Drawn at the start: what the others name it by if its disk is empty.
+    nonce: u64,
+    peers: BTreeSet<Gateway>,
+    leases: Leases,
+    clear_from: Micros,
+    next_tick: Micros,
+    ticks: u64,
+    waiting: BTreeMap<u64, (Gateway, Micros)>,
+    stands: BTreeMap<Gateway, Number>,
+    canaries: BTreeMap<(Number, Gateway), bool>,
+    made_clear: Option<(Number, Micros)>,
+    made: Made<(Number, Gateway, u8)>,
+    /// Since when the canary part has been at it, as this keeper saw it.
+    trying: Option<(Number, Micros)>,
+    told: BTreeMap<Gateway, u64>,
+    lost: BTreeMap<Gateway, u64>,
+    wanted: Option<BTreeSet<Gateway>>,
+    binds: Option<[BTreeSet<Number>; 2]>,
+    out: Vec<(Gateway, Message)>,
+    tally: Tally,
+}
+
+/// Readmitted keepers, in the sign that ends a configuration.
+type Fresh = BTreeMap<Gateway, u64>;
+
+impl<S: Storage> Keeper<S> {
+    /// Writes to an empty folder what the first configuration begins with: once in a fleet's life, the same at each
+    /// of its keepers. A keeper that lost its disk must not be founded anew: it would have forgotten what it
+    /// promised.
+    ///
+    /// # Errors
+    /// The folder holds a record already, cannot be written, or the rules have faults.
+    pub fn found(
+        storage: S,
+        keepers: &BTreeSet<Gateway>,
+        rules: Rules,
+        canary_percent: u8,
+        seed: u64,
+    ) -> Result<S, String> {
+        if !matches!(keepers.len(), 3 | 5 | 7) {
+            return Err(format!("accord.keepers: {} are named, 3, 5 or 7 may be", keepers.len()));
+        }
+        let machine = Machine::found(keepers.clone(), rules, canary_percent, seed)
+            .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+        let mut disk = Disk::open(storage)?;
+        if disk.base().is_some() {
+            return Err("there is a record already: a fleet is founded once".to_owned());
+        }
+        let base =
+            Base { config: 1, keepers: keepers.clone(), fresh: Fresh::new(), machine: machine.bytes() };
+        disk.begin(base).map_err(|Stop(why)| why)?;
+        Ok(disk.into_storage())
+    }
+
+    /// Starts from a folder. An empty one means that it was lost, or is new: the keeper takes no part before the
+    /// others have let it in by a new configuration. `peers`: the keepers that settings name.
+    ///
+    /// # Errors
+    /// The folder is damaged, with file and place.
+    pub fn open(
+        now: Micros,
+        me: Gateway,
+        storage: S,
+        peers: &BTreeSet<Gateway>,
+        nonce: u64,
+        tuning: Tuning,
+    ) -> Result<Keeper<S>, String> {
+        let mut keeper = Keeper {
+            me,
+            tuning,
+            disk: Disk::open(storage)?,
+            seat: None,
+            machine: None,
+            config: 0,
+            nonce,
+            peers: peers.clone(),
+            leases: Leases::default(),
+            clear_from: now + tuning.quarantine,
+            next_tick: now,
+            ticks: 0,
+            waiting: BTreeMap::new(),
+            stands: BTreeMap::new(),
+            canaries: BTreeMap::new(),
+            made_clear: None,
+            made: Made::new(),
+            trying: None,
+            told: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            wanted: None,
+            binds: None,
+            out: vec![],
+            tally: Tally::default(),
+        };
+        if let Some(base) = keeper.disk.base().cloned() {
+            keeper.sit(&base)?;
+            keeper.settle(now).map_err(|Stop(why)| why)?;
+        }
+        Ok(keeper)
+    }
+
+    /// Takes the seat that a configuration has for this keeper, if it has one.
+    fn sit(&mut self, base: &Base) -> Result<(), String> {
+        self.config = base.config;
+        self.peers = base.keepers.clone();
+        self.machine = Some(Machine::read(&base.machine).map_err(|e| format!("the record: {e}"))?);
+        self.seat = None;
+        (self.made_clear, self.trying, self.binds) = (None, None, None);
+        self.made.clear();
+        let keepers: Vec<Gateway> = base.keepers.iter().copied().collect();
+        let Some(pid) = keepers.iter().position(|k| *k == self.me) else { return Ok(()) };
+        let config = OmniPaxosConfig {
+            cluster_config: cluster(base.config, keepers.len()),
+            server_config: ServerConfig {
+                pid: pid as u64 + 1,
+                election_tick_timeout: ELECTION_TICKS,
+                resend_message_tick_timeout: AGAIN_TICKS,
+                ..ServerConfig::default()
+            },
+        };
+        let omni = config.build(self.disk.mirror()).map_err(|e| format!("accord.keepers: {e}"))?;
+        self.seat = Some(Seat { omni, applied: 0, keepers });
+        Ok(())
+    }
+
+    /// The record as this keeper knows it to be agreed on; none while its disk is empty.
+    pub fn machine(&self) -> Option<&Machine> {
+        self.machine.as_ref()
+    }
+
+    /// The configuration that it is in, from 1; 0: none.
+    pub fn config(&self) -> u32 {
+        self.config
+    }
+
+    /// Whether it has a part in the agreement.
+    pub fn seated(&self) -> bool {
+        self.seat.is_some()
+    }
+
+    /// What it has done.
+    pub fn tally(&self) -> Tally {
+        Tally { syncs: self.disk.syncs(), ..self.tally }
+    }
+
+    /// Whether it is the one that the others follow, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.seat
+            .as_ref()
+            .is_some_and(|s| s.omni.get_current_leader().is_some_and(|(l, _)| l == s.omni.get_pid()))
+    }
+
+    /// Gives the folder back.
+    pub fn into_storage(self) -> S {
+        self.disk.into_storage()
+    }
+
+    /// When [`Keeper::advance`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.next_tick
+    }
+
+    /// Takes a message from one whom the link has shown to be `from`.
+    ///
+    /// # Errors
+    /// The keeper must start anew from its disk.
+    pub fn handle(&mut self, now: Micros, from: Gateway, message: Message) -> Result<(), Stop> {
+        match message {
+            Message::Ask(ask) => self.ask(now, from, &ask),
+            Message::Paxos { config, message } => self.paxos(from, config, *message),
+            Message::Behind { config } if config < self.config => self.install(from),
+            Message::Install(base) => return self.installed(now, *base),
+            Message::Lost { nonce } => {
+                if self.config > 0 {
+                    self.lost.insert(from, nonce);
+                    if self.disk.base().is_some_and(|b| b.fresh.get(&from) == Some(&nonce)) {
+                        self.install(from);
+                    }
+                }
+            }
+            Message::Propose(proposal) => self.propose(now, from, *proposal),
+            Message::Withdraw { version, reason } => self.append(Entry::Withdraw { version, reason }),
+            Message::Retire { gateway } => self.append(Entry::Retire { gateway }),
+            Message::Rekey { keepers } if matches!(keepers.len(), 3 | 5 | 7) => self.wanted = Some(keepers),
+            _ => self.tally.strange += 1,
+        }
+        self.settle(now)
+    }
+
+    /// Ticks, if it is time.
+    ///
+    /// # Errors
+    /// The keeper must start anew from its disk.
+    pub fn advance(&mut self, now: Micros) -> Result<(), Stop> {
+        if now < self.next_tick {
+            return Ok(());
+        }
+        // After a pause one tick, not all that were missed: the others were not silent, this one was.
+        self.next_tick = now + self.tuning.tick;
+        self.ticks += 1;
+        if let Some(seat) = &mut self.seat {
+            seat.omni.tick();
+        } else if self.config == 0 && self.ticks % INSTALL_TICKS == 1 {
+            for peer in self.peers.iter().filter(|p| **p != self.me) {
+                self.out.push((*peer, Message::Lost { nonce: self.nonce }));
+            }
+        }
+        self.leases.tidy(now, now.saturating_sub(4 * self.tuning.wait));
+        self.waiting.retain(|_, (_, at)| now < *at + 4 * self.tuning.wait);
+        self.settle(now)?;
+        self.lead(now);
+        self.settle(now)
+    }
+
+    /// Makes what was decided durable; only what it returns may be sent.
+    ///
+    /// # Errors
+    /// The keeper must start anew from its disk, and nothing may be sent.
+    pub fn finish(&mut self) -> Result<Vec<(Gateway, Message)>, Stop> {
+        self.disk.flush(self.tuning.journal_most)?;
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    fn append(&mut self, entry: Entry) {
+        if let Some(seat) = &mut self.seat {
+            // Refused only while a new configuration is being agreed on: who waits asks again.
+            let _ = seat.omni.append(entry);
+        }
+    }
+
+    fn paxos(&mut self, from: Gateway, config: u32, message: Paxos<Entry>) {
+        if config > self.config {
+            self.out.push((from, Message::Behind { config: self.config }));
+            return;
+        }
+        if config < self.config {
+            return self.install(from);
+        }
+        let Some(seat) = &mut self.seat else { return };
+        let (by, to) = match &message {
+            Paxos::SequencePaxos(m) => (m.from, m.to),
+            Paxos::BLE(m) => (m.from, m.to),
+        };
+        // The library indexes by these: a wrong number would be its panic.
+        let known = seat.keepers.iter().position(|k| *k == from).map(|k| k as u64 + 1);
+        if known == Some(by) && to == seat.omni.get_pid() && by != to {
+            seat.omni.handle_incoming(message);
+        } else {
+            self.tally.strange += 1;
+        }
+    }
+
+    /// Sends what this configuration began with, not too often.
+    fn install(&mut self, to: Gateway) {
+        let due = self.told.get(&to).is_none_or(|at| self.ticks >= at + INSTALL_TICKS);
+        if let Some(base) = self.disk.base().filter(|_| due) {
+            self.out.push((to, Message::Install(Box::new(base.clone()))));
+            self.told.insert(to, self.ticks);
+        }
+    }
+
+    fn installed(&mut self, now: Micros, base: Base) -> Result<(), Stop> {
+        let readmitted = base.fresh.get(&self.me) == Some(&self.nonce);
+        // With an empty disk, a configuration that this keeper may have voted in before is not to be entered again.
+        if base.config <= self.config || (self.config == 0 && !readmitted && base.keepers.contains(&self.me))
+        {
+            return Ok(());
+        }
+        self.begin(now, base)
+    }
+
+    fn begin(&mut self, now: Micros, base: Base) -> Result<(), Stop> {
+        if self.config == 0 || base.keepers != self.peers {
+            // Majorities of other keepers need not share one with this; and what was granted before is not known.
+            self.clear_from = self.clear_from.max(now + self.tuning.quarantine);
+        }
+        self.disk.begin(base.clone())?;
+        self.sit(&base).map_err(Stop)
+    }
+
+    /// Applies what is decided, and takes what the consensus wants to send.
+    fn settle(&mut self, now: Micros) -> Result<(), Stop> {
+        while let Some(seat) = &mut self.seat {
+            let decided = seat.omni.get_decided_idx();
+            let suffix =
+                if decided > seat.applied { seat.omni.read_decided_suffix(seat.applied) } else { None };
+            let (mut ended, mut changed) = (None, false);
+            for entry in suffix.unwrap_or_default() {
+                match entry {
+                    LogEntry::Decided(entry) => {
+                        seat.applied += 1;
+                        changed = true;
+                        let told = self.machine.as_mut().and_then(|m| m.apply(entry));
+                        if let Some((id, outcome)) = told {
+                            if let Some((editor, _)) = self.waiting.remove(&id) {
+                                self.out.push((editor, Message::Told { id, outcome }));
+                            }
+                        }
+                    }
+                    LogEntry::StopSign(sign, true) => ended = Some(sign),
+                    _ => break,
+                }
+            }
+            let mut messages = vec![];
+            seat.omni.take_outgoing_messages(&mut messages);
+            for message in messages {
+                let to = match &message {
+                    Paxos::SequencePaxos(m) => m.to,
+                    Paxos::BLE(m) => m.to,
+                };
+                if let Some(to) = (to as usize).checked_sub(1).and_then(|k| seat.keepers.get(k)) {
+                    let message = Message::Paxos { config: self.config, message: Box::new(message) };
+                    self.out.push((*to, message));
+                }
+            }
+            if changed {
+                self.changed(now);
+            }
+            match ended {
+                Some(sign) => self.succeed(now, sign)?,
+                None => break,
+            }
+        }
+        self.clear(now);
+        Ok(())
+    }
+
+    /// The configuration has ended: the next begins with the record as it is.
+    fn succeed(&mut self, now: Micros, sign: StopSign) -> Result<(), Stop> {
+        let next: Option<(BTreeSet<Gateway>, Fresh)> =
+            sign.metadata.as_deref().and_then(|bytes| postcard::from_bytes(bytes).ok());
+        let (Some((keepers, fresh)), Some(machine)) = (next, &mut self.machine) else {
+            return Err(Stop("the sign that ends a configuration cannot be read".to_owned()));
+        };
+        machine.rekey(keepers.clone());
+        let base =
+            Base { config: sign.next_config.configuration_id, keepers, fresh, machine: machine.bytes() };
+        let all: BTreeSet<Gateway> = base.keepers.union(&self.peers).copied().collect();
+        self.begin(now, base)?;
+        let me = self.me;
+        for peer in all.into_iter().filter(|p| *p != me) {
+            self.told.remove(&peer);
+            self.install(peer);
+        }
+        Ok(())
+    }
+
+    /// Something was agreed on: followers that were heard lately are told to ask.
+    fn changed(&mut self, now: Micros) {
+        self.binds = None;
+        let Some(machine) = &self.machine else { return };
+        let trying = (!machine.wide() && !machine.withdrawn(machine.in_force())).then(|| machine.in_force());
+        if self.trying.map(|(n, _)| n) != trying {
+            self.trying = trying.map(|n| (n, now));
+        }
+        let stale = machine.in_force();
+        self.canaries.retain(|(n, _), _| *n >= stale);
+        let since = now.saturating_sub(self.tuning.lease);
+        let hints = self.leases.heard_since(since).map(|f| (f, Message::Hint));
+        self.out.extend(hints);
+    }
+
+    /// Says, once it is so, that no lease given here contradicts the version next to come into force.
+    fn clear(&mut self, now: Micros) {
+        let Some(machine) = &self.machine else { return };
+        let Some(next) = machine.next() else {
+            self.made_clear = None;
+            return;
+        };
+        let again = self.tuning.tick * AGAIN_TICKS;
+        if self.seat.is_none()
+            || now < self.clear_from
+            || self.made_clear.is_some_and(|(n, at)| n == next && now < at + again)
+        {
+            return;
+        }
+        // Few sets differ: each is judged once.
+        let mut judged: BTreeMap<(&BTreeSet<Number>, bool), bool> = BTreeMap::new();
+        let fleet = machine.version(next).map(|v| &v.rules.gateways);
+        let runs = self.leases.running(now).any(|(who, set, _)| {
+            let inside = fleet.is_some_and(|f| f.contains(&who));
+            *judged.entry((set, inside)).or_insert_with(|| machine.conflicts(who, set, next))
+        });
+        if !runs {
+            self.made_clear = Some((next, now));
+            self.append(Entry::Clear { keeper: self.me, next });
+        }
+    }
+
+    fn ask(&mut self, now: Micros, from: Gateway, ask: &Ask) {
+        if !self.leases.asked(now, from, ask) {
+            return;
+        }
+        let Some(machine) = &self.machine else { return };
+        if ask.stands > machine.stand_of(from).unwrap_or(0) {
+            self.stands.insert(from, ask.stands);
+        }
+        if let Some((version, well)) = ask.canary.filter(|(v, _)| *v == machine.in_force()) {
+            self.canaries.insert((version, from), well);
+        }
+        if self.binds.is_none() {
+            self.binds = Some([machine.binds_outside(), machine.binds_inside()]);
+        }
+        let inside = machine.wide() || machine.canary(machine.in_force(), from);
+        let Some(binds) = self.binds.as_ref().map(|b| b[usize::from(inside)].clone()) else { return };
+        // Once the end of this configuration is accepted here, a majority of the next may count without this keeper.
+        // One that is no keeper any more tells who is, and gives none.
+        let may = self.seat.is_some() && !self.disk.mirror().stopping();
+        let granted = may && self.leases.give(from, &binds, now + self.tuning.wait);
+        let ground = machine.ground();
+        let wanted = binds.iter().chain([&ground]);
+        let lacking: BTreeSet<Number> = wanted.filter(|n| !ask.knows.contains(n)).copied().collect();
+        let versions = lacking.iter().filter_map(|n| machine.version(*n)).map(|v| v.bytes()).collect();
+        let count = if granted { &mut self.tally.leases } else { &mut self.tally.unleased };
+        *count += 1;
+        let answer = Answer {
+            life: ask.life,
+            seq: ask.seq,
+            config: self.config,
+            keepers: machine.keepers().clone(),
+            grant: granted.then_some(binds),
+            ground,
+            versions,
+        };
+        self.out.push((from, Message::Answer(Box::new(answer))));
+    }
+
+    fn propose(&mut self, now: Micros, from: Gateway, proposal: Proposal) {
+        let id = proposal.id;
+        let Some(machine) = &self.machine else { return };
+        if let Some(outcome) = machine.outcome(id) {
+            return self.out.push((from, Message::Told { id, outcome: outcome.clone() }));
+        }
+        let mut faults = proposal.rules.check();
+        let bytes = postcard::to_stdvec(&proposal).map_or(usize::MAX, |b| b.len());
+        if bytes > MOST_BYTES {
+            faults.push(crate::record::Fault::new("", format!("{bytes} bytes, {MOST_BYTES} at most")));
+        }
+        if !faults.is_empty() {
+            return self.out.push((from, Message::Told { id, outcome: Outcome::Faulty(faults) }));
+        }
+        if self.waiting.len() >= WAITING && !self.waiting.contains_key(&id) {
+            self.tally.strange += 1;
+            return;
+        }
+        // One sent again while it is on its way is not put in the log twice at once.
+        if self
+            .waiting
+            .insert(id, (from, now))
+            .is_none_or(|(_, at)| now >= at + self.tuning.tick * AGAIN_TICKS)
+        {
+            self.append(Entry::Publish(Box::new(proposal)));
+        }
+    }
+
+    /// What the one that leads does beside: it gathers what all heard, and ends configurations.
+    fn lead(&mut self, now: Micros) {
+        if !self.leads() {
+            return;
+        }
+        let again = now.saturating_sub(self.tuning.tick * AGAIN_TICKS);
+        self.made.retain(|_, at| *at > again);
+        let Some(machine) = &self.machine else { return };
+        let mut entries = vec![];
+        let stale = |g: &Gateway, on: &Number| machine.stand_of(*g).is_some_and(|known| known >= *on);
+        self.stands.retain(|g, on| !stale(g, on));
+        let mut by_version: BTreeMap<Number, Vec<Gateway>> = BTreeMap::new();
+        for (gateway, on) in self.stands.iter().filter(|(g, on)| !self.made.contains_key(&(**on, **g, 0))) {
+            by_version.entry(*on).or_default().push(*gateway);
+        }
+        for (on, mut gateways) in by_version {
+            gateways.truncate(STAND_MOST);
+            self.made.extend(gateways.iter().map(|g| ((on, *g, 0), now)));
+            entries.push(Entry::Stand { on, gateways });
+        }
+        for ((version, gateway), well) in &self.canaries {
+            let counts = machine.counts_canary(*version, *gateway, *well);
+            if counts && !self.made.contains_key(&(*version, *gateway, 1)) {
+                self.made.insert((*version, *gateway, 1), now);
+                entries.push(Entry::Canary { version: *version, gateway: *gateway, well: *well });
+            }
+        }
+        if let Some((version, _)) = self.trying.filter(|(_, since)| now >= since + self.tuning.canary) {
+            if self.made.insert((version, 0, 2), now).is_none() {
+                let reason = "the canary part did not confirm it in time".to_owned();
+                entries.push(Entry::Withdraw { version, reason });
+            }
+        }
+        entries.into_iter().for_each(|e| self.append(e));
+        self.reconfigure();
+    }
+
+    /// Ends this configuration if keepers change, one has lost its disk, or its log has grown long.
+    fn reconfigure(&mut self) {
+        let (Some(base), Some(seat)) = (self.disk.base(), &mut self.seat) else { return };
+        let wanted = self.wanted.clone().filter(|w| *w != base.keepers);
+        // A keeper that enters must be there: with an empty disk of its own, by its number.
+        let ready = |w: &BTreeSet<Gateway>| w.difference(&base.keepers).all(|k| self.lost.contains_key(k));
+        let lost: Fresh = self
+            .lost
+            .iter()
+            .filter(|(k, nonce)| base.keepers.contains(k) && base.fresh.get(k) != Some(nonce))
+            .map(|(k, n)| (*k, *n))
+            .collect();
+        let long = self.disk.mirror().entries() > self.tuning.log_most;
+        let keepers = match wanted {
+            Some(wanted) if ready(&wanted) => wanted,
+            _ if !lost.is_empty() || long => base.keepers.clone(),
+            _ => return,
+        };
+        let fresh = |k: &Gateway| self.lost.get(k).map(|n| (*k, *n));
+        let mut entering: Fresh = keepers.difference(&base.keepers).filter_map(fresh).collect();
+        entering.extend(lost.into_iter().filter(|(k, _)| keepers.contains(k)));
+        let next = cluster(base.config + 1, keepers.len());
+        let metadata = postcard::to_stdvec(&(&keepers, &entering)).ok();
+        // Refused while one is being agreed on already.
+        let _ = seat.omni.reconfigure(next, metadata);
+    }
+}
+
+fn cluster(config: u32, keepers: usize) -> ClusterConfig {
+    ClusterConfig { configuration_id: config, nodes: (1..=keepers as u64).collect(), flexible_quorum: None }
+}
--- /dev/null
+++ b/crates/accord/src/machine.rs
@@ -0,0 +1,499 @@
+//! The record as a fold over the agreed log: what is numbered, what is in force, who may still be on which ground.
+//!
+//! Every keeper applies the same entries in the same order, and no entry is decided by a clock. What a keeper says
+//! of its own leases ([`Entry::Clear`]) counts as soon as it is in the log, and a version comes into force by the
+//! entry that makes a majority of them.
+
+use crate::allowance::{breaks, contradicts, meet_all, Allowance};
+use crate::record::{changed, Fault, Gateway, Hash, Number, Rules, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Versions kept at most: those that may be in force or somebody's ground. Over it nothing is numbered.
+pub const MOST_KEPT: usize = 32;
+/// Outcomes of proposals that are remembered, so that one sent twice is numbered once.
+const REMEMBERED: usize = 256;
+
+/// A version that an editor asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Drawn by the editor; one sent again carries the same.
+    pub id: u64,
+    /// The version that it was made from.
+    pub base: Number,
+    /// Who.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// When, milliseconds since 1970.
+    pub time_ms: u64,
+    /// What.
+    pub rules: Rules,
+}
+
+/// What is agreed on, one after the other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A version is asked for.
+    Publish(Box<Proposal>),
+    /// No lease that this keeper gave and that contradicts the version next to come into force runs any more.
+    Clear {
+        /// The keeper.
+        keeper: Gateway,
+        /// The version.
+        next: Number,
+    },
+    /// Gateways have this version, or a later one, as their ground, and have stored it.
+    Stand {
+        /// The version.
+        on: Number,
+        /// The gateways.
+        gateways: Vec<Gateway>,
+    },
+    /// A gateway of the canary part says how it goes under a version.
+    Canary {
+        /// The version.
+        version: Number,
+        /// The gateway.
+        gateway: Gateway,
+        /// It goes well.
+        well: bool,
+    },
+    /// A version is taken back: a new one restores what was in force before it.
+    Withdraw {
+        /// The version.
+        version: Number,
+        /// Why.
+        reason: String,
+    },
+    /// An operator's word that a gateway's process has ended for good.
+    Retire {
+        /// The gateway.
+        gateway: Gateway,
+    },
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It has a number.
+    Numbered(Number),
+    /// Another came first: the latest version, and what it changed.
+    Overtaken {
+        /// The latest version.
+        latest: Number,
+        /// Where it differs from the one that the proposal was made from.
+        changed: Vec<String>,
+    },
+    /// Its rules have faults.
+    Faulty(Vec<Fault>),
+    /// It forbids what gateways may still do on ground: by the version that allows it. Publish one first that
+    /// narrows the floor, and this once all stand on that.
+    BreaksGround {
+        /// The version whose ground it is.
+        of: Number,
+        /// Who may stand on it.
+        held_by: Vec<Gateway>,
+        /// Where.
+        places: Vec<Fault>,
+    },
+    /// Too many versions are still somebody's ground: how many.
+    Full(usize),
+}
+
+/// The record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    versions: BTreeMap<Number, Version>,
+    in_force: Number,
+    /// The version in force before, for those outside the canary part; the same as `in_force` once that is over.
+    before: Number,
+    cleared: BTreeSet<Gateway>,
+    withdrawn: BTreeSet<Number>,
+    /// Versions that restore another need no canary.
+    restores: BTreeSet<Number>,
+    well: BTreeSet<Gateway>,
+    stands: BTreeMap<Gateway, Number>,
+    retired: BTreeSet<Gateway>,
+    outcomes: BTreeMap<u64, Outcome>,
+    order: Vec<u64>,
+    /// Gateways in a hundred that confirm a version before the others come under it.
+    canary_percent: u8,
+    /// Keepers whose word makes a majority.
+    keepers: BTreeSet<Gateway>,
+    seed: u64,
+}
+
+impl Machine {
+    /// A record whose first version is in force, and everybody's ground.
+    ///
+    /// # Errors
+    /// What is wrong with its rules.
+    pub fn found(
+        keepers: BTreeSet<Gateway>,
+        rules: Rules,
+        canary_percent: u8,
+        seed: u64,
+    ) -> Result<Machine, Vec<Fault>> {
+        let faults = rules.check();
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let stands = rules.gateways.iter().map(|g| (*g, 1)).collect();
+        let (author, reason) = ("founding".to_owned(), "the fleet's first rules".to_owned());
+        let first = Version { number: 1, before: [0; 32], author, reason, time_ms: 0, rules };
+        Ok(Machine {
+            versions: BTreeMap::from([(1, first)]),
+            in_force: 1,
+            before: 1,
+            cleared: BTreeSet::new(),
+            withdrawn: BTreeSet::new(),
+            restores: BTreeSet::new(),
+            well: BTreeSet::new(),
+            stands,
+            retired: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+            order: vec![],
+            canary_percent: canary_percent.min(100),
+            keepers,
+            seed,
+        })
+    }
+
+    /// The newest version in force, for all or for the canary part.
+    pub fn in_force(&self) -> Number {
+        self.in_force
+    }
+
+    /// The newest version that has a number.
+    pub fn latest(&self) -> Number {
+        self.versions.keys().next_back().copied().unwrap_or(self.in_force)
+    }
+
+    /// Whether the newest version in force holds for all, not for the canary part alone.
+    pub fn wide(&self) -> bool {
+        self.before == self.in_force
+    }
+
+    /// A version that is kept.
+    pub fn version(&self, number: Number) -> Option<&Version> {
+        self.versions.get(&number)
+    }
+
+    /// Whether a version was taken back.
+    pub fn withdrawn(&self, number: Number) -> bool {
+        self.withdrawn.contains(&number)
+    }
+
+    /// The keepers.
+    pub fn keepers(&self) -> &BTreeSet<Gateway> {
+        &self.keepers
+    }
+
+    /// Who may still act on the ground of a version before this one.
+    pub fn stand_before(&self, number: Number) -> Vec<Gateway> {
+        self.stands.iter().filter(|(_, on)| **on < number).map(|(g, _)| *g).collect()
+    }
+
+    /// What became of a proposal, if it is remembered.
+    pub fn outcome(&self, id: u64) -> Option<&Outcome> {
+        self.outcomes.get(&id)
+    }
+
+    /// The version next to come into force, if one has a number and the canary part is done with the last.
+    pub fn next(&self) -> Option<Number> {
+        if !self.wide() && !self.withdrawn.contains(&self.in_force) {
+            return None;
+        }
+        let later = self.versions.keys().copied().filter(|n| *n > self.in_force);
+        later.filter(|n| !self.withdrawn.contains(n)).min()
+    }
+
+    /// Whether a gateway is of the part that comes under a version first: by lot, from the record's seed.
+    pub fn canary(&self, version: Number, gateway: Gateway) -> bool {
+        let mut words = self.seed.to_be_bytes().to_vec();
+        words.extend(version.to_be_bytes());
+        words.extend(gateway.to_be_bytes());
+        let hash = blake3::hash(&words);
+        let lot = u16::from_be_bytes([hash.as_bytes()[0], hash.as_bytes()[1]]);
+        u32::from(lot) * 100 < u32::from(self.canary_percent) * 65_536
+    }
+
+    /// The canary part of a version, of its own fleet.
+    pub fn canaries(&self, version: Number) -> BTreeSet<Gateway> {
+        let fleet = self.versions.get(&version).map(|v| &v.rules.gateways);
+        fleet.into_iter().flatten().copied().filter(|g| self.canary(version, *g)).collect()
+    }
+
+    /// The version that holds for all: what a gateway stands on.
+    pub fn ground(&self) -> Number {
+        self.before
+    }
+
+    /// The version that a gateway is known to stand on.
+    pub fn stand_of(&self, gateway: Gateway) -> Option<Number> {
+        self.stands.get(&gateway).copied()
+    }
+
+    /// Whether a canary's word would change anything.
+    pub(crate) fn counts_canary(&self, version: Number, gateway: Gateway, well: bool) -> bool {
+        version == self.in_force
+            && !self.wide()
+            && !self.withdrawn.contains(&version)
+            && self.canary(version, gateway)
+            && !(well && self.well.contains(&gateway))
+    }
+
+    /// The versions that bind a gateway under `own`: that one, and those that others may act under, now or next,
+    /// and that contradict it. Under one, or under what all of them allow, it contradicts nobody.
+    fn binds_under(&self, own: Number) -> BTreeSet<Number> {
+        let mut set = BTreeSet::from([own]);
+        for other in [Some(self.in_force), Some(self.before), self.next()].into_iter().flatten() {
+            if let (Some(a), Some(b)) = (self.versions.get(&own), self.versions.get(&other)) {
+                if own != other && !contradicts(&a.rules, &b.rules).is_empty() {
+                    set.insert(other);
+                }
+            }
+        }
+        set
+    }
+
+    /// The versions that bind the canary part, and all once a version holds for all.
+    pub fn binds_inside(&self) -> BTreeSet<Number> {
+        self.binds_under(self.in_force)
+    }
+
+    /// The versions that bind those outside the canary part.
+    pub fn binds_outside(&self) -> BTreeSet<Number> {
+        self.binds_under(self.before)
+    }
+
+    /// What a gateway may do while all of these may be in force.
+    pub fn allowance(&self, gateway: Gateway, set: &BTreeSet<Number>) -> Allowance {
+        if set.iter().any(|n| !self.versions.contains_key(n)) {
+            return Allowance::default();
+        }
+        meet_all(gateway, set.iter().filter_map(|n| self.versions.get(n)))
+    }
+
+    /// Whether acting under these would contradict a version that comes into force.
+    pub fn conflicts(&self, gateway: Gateway, set: &BTreeSet<Number>, next: Number) -> bool {
+        let Some(law) = self.versions.get(&next) else { return true };
+        let some = set.iter().map(|n| self.versions.get(n)).collect::<Option<Vec<_>>>();
+        match some.as_deref() {
+            None => true,
+            // Under a single version, what that forbids and the new one allows is a contradiction as well.
+            Some([only]) => only.number != next && !contradicts(&only.rules, &law.rules).is_empty(),
+            Some(all) => {
+                if !all.iter().all(|v| v.rules.gateways.contains(&gateway)) {
+                    return false;
+                }
+                !law.rules.gateways.contains(&gateway)
+                    || !meet_all(gateway, all.iter().copied())
+                        .exceeds(&law.rules.allowance(gateway))
+                        .is_empty()
+            }
+        }
+    }
+
+    fn remember(&mut self, id: u64, outcome: Outcome) {
+        self.outcomes.insert(id, outcome);
+        self.order.push(id);
+        if self.order.len() > REMEMBERED {
+            self.outcomes.remove(&self.order.remove(0));
+        }
+    }
+
+    fn hash(&self, number: Number) -> Hash {
+        self.versions.get(&number).map_or([0; 32], Version::hash)
+    }
+
+    fn append(&mut self, author: String, reason: String, time_ms: u64, rules: Rules) -> Number {
+        let latest = self.latest();
+        let (number, before) = (latest + 1, self.hash(latest));
+        self.versions.insert(number, Version { number, before, author, reason, time_ms, rules });
+        number
+    }
+
+    fn consider(&mut self, proposal: Proposal) -> Outcome {
+        let latest = self.latest();
+        let faults = proposal.rules.check();
+        if !faults.is_empty() {
+            return Outcome::Faulty(faults);
+        }
+        if proposal.base != latest {
+            let rules = |n| self.versions.get(&n).map(|v: &Version| &v.rules);
+            let changed = match (rules(proposal.base), rules(latest)) {
+                (Some(a), Some(b)) => changed(a, b),
+                _ => vec!["everything: the version it was made from is no more kept".to_owned()],
+            };
+            return Outcome::Overtaken { latest, changed };
+        }
+        if self.versions.len() >= MOST_KEPT {
+            return Outcome::Full(self.versions.len());
+        }
+        // Whatever may still be somebody's ground must be allowed by every version to come.
+        if let Some((of, places)) = self.broken_ground(&proposal.rules) {
+            let held_by = self.stands.iter().filter(|(_, on)| **on <= of).map(|(g, _)| *g).collect();
+            return Outcome::BreaksGround { of, held_by, places };
+        }
+        let Proposal { author, reason, time_ms, rules, .. } = proposal;
+        Outcome::Numbered(self.append(author, reason, time_ms, rules))
+    }
+
+    /// Applies an entry; what became of the proposal, if it was one.
+    pub fn apply(&mut self, entry: Entry) -> Option<(u64, Outcome)> {
+        match entry {
+            Entry::Publish(proposal) => {
+                let id = proposal.id;
+                if let Some(known) = self.outcomes.get(&id) {
+                    return Some((id, known.clone()));
+                }
+                let outcome = self.consider(*proposal);
+                self.remember(id, outcome.clone());
+                return Some((id, outcome));
+            }
+            Entry::Clear { keeper, next } => {
+                if self.next() == Some(next) && self.keepers.contains(&keeper) {
+                    self.cleared.insert(keeper);
+                    if self.cleared.len() > self.keepers.len() / 2 {
+                        self.enforce(next);
+                    }
+                }
+            }
+            Entry::Stand { on, gateways } => {
+                // Only what holds for all is ground: what the canary part tries may yet be withdrawn.
+                let on = if self.wide() { on.min(self.in_force) } else { on.min(self.before) };
+                for gateway in gateways {
+                    if !self.retired.contains(&gateway) {
+                        let stand = self.stands.entry(gateway).or_insert(on);
+                        *stand = on.max(*stand);
+                    }
+                }
+                self.forget();
+            }
+            Entry::Canary { version, gateway, well } => {
+                if self.counts_canary(version, gateway, well) {
+                    if well {
+                        self.well.insert(gateway);
+                        // Over half of the part: one that died, or is cut off, does not hold the fleet up.
+                        if self.well.len() * 2 > self.canaries(version).len() {
+                            self.widen();
+                        }
+                    } else {
+                        self.withdraw(version, &format!("gateway {gateway} fails under it"));
+                    }
+                }
+            }
+            Entry::Withdraw { version, reason } => self.withdraw(version, &reason),
+            Entry::Retire { gateway } => {
+                self.stands.remove(&gateway);
+                self.retired.insert(gateway);
+                self.forget();
+            }
+        }
+        None
+    }
+
+    fn enforce(&mut self, next: Number) {
+        let from = if self.withdrawn.contains(&self.in_force) { self.before } else { self.in_force };
+        self.cleared.clear();
+        self.well.clear();
+        (self.before, self.in_force) = (from, next);
+        if self.restores.contains(&next) || self.canaries(next).is_empty() {
+            self.widen();
+        }
+    }
+
+    fn widen(&mut self) {
+        self.before = self.in_force;
+        self.well.clear();
+        let fleet = self.versions.get(&self.in_force).map(|v| v.rules.gateways.clone()).unwrap_or_default();
+        for gateway in fleet {
+            // One that joins stands on the version that it joins under, or not at all.
+            self.retired.remove(&gateway);
+            self.stands.entry(gateway).or_insert(self.in_force);
+        }
+        self.forget();
+    }
+
+    /// The newest version not withdrawn before another.
+    fn good_before(&self, version: Number) -> Option<Number> {
+        self.versions.range(..version).map(|(n, _)| *n).filter(|n| !self.withdrawn.contains(n)).max()
+    }
+
+    /// Where rules forbid what may still be somebody's ground: by which version, and where.
+    fn broken_ground(&self, rules: &Rules) -> Option<(Number, Vec<Fault>)> {
+        let lowest = self.stands.values().min().copied().unwrap_or(self.in_force);
+        self.versions.range(lowest..).find_map(|(of, old)| {
+            let mut places = breaks(&old.rules, rules);
+            places.retain(|p| !self.retired.iter().any(|g| p.path == format!("gateways.{g}")));
+            (!places.is_empty()).then_some((*of, places))
+        })
+    }
+
+    /// Takes back the latest version: what was in force before it is restored by a new one.
+    fn withdraw(&mut self, version: Number, reason: &str) {
+        if version != self.latest() || version == 1 || self.withdrawn.contains(&version) {
+            return;
+        }
+        let good = match (version == self.in_force, self.wide()) {
+            (true, false) => Some(self.before),
+            (true, true) => self.good_before(version),
+            _ => Some(self.in_force),
+        };
+        let good = good.and_then(|n| self.versions.get(&n));
+        let Some((good, rules)) = good.map(|v| (v.number, v.rules.clone())) else { return };
+        // Once all came under it, some may stand on it: then restoring is a change like any other. Before that
+        // nobody does (`Entry::Stand` names only versions in force for all).
+        if version == self.in_force && self.wide() && self.broken_ground(&rules).is_some() {
+            return;
+        }
+        self.withdrawn.insert(version);
+        self.cleared.clear();
+        let reason = format!("version {version} is withdrawn, version {good} restored: {reason}");
+        let number = self.append("keepers".to_owned(), reason, 0, rules);
+        self.restores.insert(number);
+    }
+
+    /// Versions that can be nobody's ground any more, and are not in force, are not kept.
+    fn forget(&mut self) {
+        let lowest = self.stands.values().min().copied().unwrap_or(self.in_force);
+        // One before what is in force is kept too, so that it can be restored.
+        let good = self.good_before(self.in_force).unwrap_or(self.in_force);
+        let keep = lowest.min(self.before).min(good);
+        self.versions.retain(|n, _| *n >= keep);
+        self.withdrawn.retain(|n| *n >= keep);
+        self.restores.retain(|n| *n >= keep);
+    }
+
+    /// The keepers change: what the old ones said of their leases is not the new ones' word.
+    pub fn rekey(&mut self, keepers: BTreeSet<Gateway>) {
+        self.keepers = keepers;
+        self.cleared.clear();
+    }
+
+    /// The record as bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads what [`Machine::bytes`] wrote.
+    ///
+    /// # Errors
+    /// What is wrong: its form, or a version in it that does not link.
+    pub fn read(bytes: &[u8]) -> Result<Machine, String> {
+        let machine: Machine = postcard::from_bytes(bytes).map_err(|e| e.to_string())?;
+        for (number, version) in &machine.versions {
+            if let Some(before) = number.checked_sub(1).and_then(|n| machine.versions.get(&n)) {
+                version.follows(before).map_err(|e| e.to_string())?;
+            }
+        }
+        Ok(machine)
+    }
+
+    /// All versions that are kept.
+    pub fn versions(&self) -> &BTreeMap<Number, Version> {
+        &self.versions
+    }
+}
--- /dev/null
+++ b/crates/accord/src/message.rs
@@ -0,0 +1,141 @@
+//! What keepers, followers and editors say to each other.
+
+use crate::machine::{Entry, Outcome, Proposal};
+use crate::record::{Gateway, Number, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes of a message at most, as it is sent.
+pub const MOST: usize = 64 << 20;
+
+/// A follower's question for a lease, to all keepers alike.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Drawn at the follower's start.
+    pub life: u64,
+    /// Grows with each question of a life.
+    pub seq: u64,
+    /// What earlier questions than this one were granted is used only within these versions from now on.
+    pub within: Option<(u64, BTreeSet<Number>)>,
+    /// The version whose ground it falls back on, stored.
+    pub stands: Number,
+    /// The versions it knows.
+    pub knows: BTreeSet<Number>,
+    /// Of the canary part: how it goes under a version.
+    pub canary: Option<(Number, bool)>,
+}
+
+/// A keeper's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Of the question.
+    pub life: u64,
+    /// Of the question.
+    pub seq: u64,
+    /// The keepers' configuration, and who they are.
+    pub config: u32,
+    /// Who they are.
+    pub keepers: BTreeSet<Gateway>,
+    /// A lease on what all of these versions allow; none, if this keeper may not give one now.
+    pub grant: Option<BTreeSet<Number>>,
+    /// The version that holds for all, to stand on.
+    pub ground: Number,
+    /// Versions that the follower lacks, as [`Version::bytes`].
+    pub versions: Vec<Vec<u8>>,
+}
+
+/// What a configuration of keepers begins with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Base {
+    /// Its number, from 1.
+    pub config: u32,
+    /// Its keepers.
+    pub keepers: BTreeSet<Gateway>,
+    /// Keepers that enter it with an empty disk, by the number that each drew.
+    pub fresh: BTreeMap<Gateway, u64>,
+    /// The record as it was agreed on before.
+    pub machine: Vec<u8>,
+}
+
+/// Anything said.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// Between keepers of one configuration.
+    Paxos {
+        /// Which.
+        config: u32,
+        /// The consensus's own.
+        message: Box<omnipaxos::messages::Message<Entry>>,
+    },
+    /// A keeper says which configuration it is in, to one that speaks of a later.
+    Behind {
+        /// Which.
+        config: u32,
+    },
+    /// What a later configuration began with.
+    Install(Box<Base>),
+    /// A keeper whose disk is empty.
+    Lost {
+        /// Drawn at its start.
+        nonce: u64,
+    },
+    /// A follower's question.
+    Ask(Ask),
+    /// Its answer.
+    Answer(Box<Answer>),
+    /// Something has changed: ask.
+    Hint,
+    /// An editor's proposal.
+    Propose(Box<Proposal>),
+    /// What became of it.
+    Told {
+        /// Of the proposal.
+        id: u64,
+        /// What.
+        outcome: Outcome,
+    },
+    /// An operator's withdrawal of the latest version.
+    Withdraw {
+        /// Which.
+        version: Number,
+        /// Why.
+        reason: String,
+    },
+    /// An operator's word that a gateway's process has ended for good.
+    Retire {
+        /// Which.
+        gateway: Gateway,
+    },
+    /// An operator's change of the keepers.
+    Rekey {
+        /// The new ones.
+        keepers: BTreeSet<Gateway>,
+    },
+}
+
+/// A message as bytes.
+pub fn encode(message: &Message) -> Vec<u8> {
+    postcard::to_stdvec(message).unwrap_or_default()
+}
+
+/// Reads what [`encode`] wrote.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<Message, String> {
+    if bytes.len() > MOST {
+        return Err(format!("a message of {} bytes, {MOST} at most", bytes.len()));
+    }
+    match postcard::take_from_bytes::<Message>(bytes) {
+        Ok((message, [])) => Ok(message),
+        Ok((_, rest)) => Err(format!("{} bytes too many", rest.len())),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// The versions of an answer, read and checked.
+pub(crate) fn versions(
+    answer: &Answer,
+) -> impl Iterator<Item = Result<Version, crate::record::BadVersion>> + '_ {
+    answer.versions.iter().map(|bytes| Version::read(bytes))
+}
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -32,8 +32,8 @@
 #[test]
 fn the_counters_files_are_verified_dumped_replayed_and_shortened() {
     use frostgauge_count::Op;
-    use frostgauge_counter::storage::Disk;
     use frostgauge_counter::store::{Config, Store};
+    use frostgauge_storage::Disk;
     let folder = Folder::new(None).expect("a folder");
     let data = folder.path().display().to_string();
     let config = Config { segment: 1 << 20, names: 10, keep: false };
--- a/crates/counter/src/commit.rs
+++ b/crates/counter/src/commit.rs
@@ -1,12 +1,12 @@
 //! The committing thread: takes what waits, as one group, and answers once it is durable.
 
 use crate::service::Live;
-use crate::storage::{Disk, Storage};
 use crate::store::{write_snapshot, Given, Stop, Store};
 use async_channel::{Receiver, Sender};
 use frostgauge_count::{Micros, Op, Queue, QueueConfig};
 use frostgauge_proto::counter::{Code, Frame, Key, Nonce};
 use frostgauge_settings::CounterLimits;
+use frostgauge_storage::{Disk, Storage};
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
--- a/crates/counter/src/daemon.rs
+++ b/crates/counter/src/daemon.rs
@@ -1,7 +1,6 @@
 //! The daemon: files opened, sockets opened, signals heeded, what waits answered before the end.
 
 use crate::commit::{self, Shared};
-use crate::storage::{Disk, Storage};
 use crate::store::{Config, Store};
 use crate::{nowhere::Nowhere, service};
 use async_executor::Executor;
@@ -10,6 +9,7 @@
 use frostgauge_net::{accept, listen, pages, Closing, Page, Places};
 use frostgauge_proto::counter::Key;
 use frostgauge_settings::{load_counter, CounterLoaded};
+use frostgauge_storage::{Disk, Storage};
 use futures_lite::{future, StreamExt};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use std::path::Path;
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -8,8 +8,6 @@
 pub mod daemon;
 mod nowhere;
 mod service;
-pub mod sim;
-pub mod storage;
 pub mod store;
 
 /// Sets up logging to standard error: text for people, or JSON lines. `FROSTGAUGE_LOG` chooses what is told.
--- a/crates/counter/src/nowhere.rs
+++ b/crates/counter/src/nowhere.rs
@@ -1,6 +1,6 @@
 //! Files that are kept in memory and never made durable: what the service costs without its log.
 
-use crate::storage::Storage;
+use frostgauge_storage::Storage;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 
--- a/crates/counter/src/store/mod.rs
+++ b/crates/counter/src/store/mod.rs
@@ -11,10 +11,10 @@
 
 pub use recover::{Found, Refused};
 
-use crate::storage::{no_room, Storage};
 use format::{put_group, segment_head, SEGMENT_HEAD};
 use frostgauge_count::{Machine, Op, Outcome, Record, Undo};
 use frostgauge_proto::counter::Code;
+use frostgauge_storage::{no_room, Storage};
 use std::io;
 
 /// Bounds of the files.
@@ -261,7 +261,7 @@
         storage.create(&part)?;
         storage.write_at(&part, 0, &snapshot.bytes)?;
         storage.sync(&part)?;
-        if crate::storage::read(storage, &part)? != snapshot.bytes {
+        if frostgauge_storage::read(storage, &part)? != snapshot.bytes {
             return Err(io::Error::other(format!("{part} reads back as something else")));
         }
         storage.rename(&part, &name)?;
--- a/crates/counter/src/store/tools.rs
+++ b/crates/counter/src/store/tools.rs
@@ -3,8 +3,8 @@
 use super::format::{read_segment_head, SEGMENT_HEAD};
 use super::recover::{examine, walk, Found, Refused};
 use super::{number, seal, segment_name, snapshot_name, Config, Store};
-use crate::storage::{read, Disk, Storage};
 use frostgauge_count::{units, Machine, Op, Record};
+use frostgauge_storage::{read, Disk, Storage};
 use serde_json::{json, Value};
 use std::path::Path;
 
--- a/crates/counter/tests/common/mod.rs
+++ b/crates/counter/tests/common/mod.rs
@@ -2,9 +2,9 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use frostgauge_count::{Machine, Op, WINDOW};
-use frostgauge_counter::sim::{Plan, SimDisk};
 use frostgauge_counter::store::{write_snapshot, Config, Given, Store};
 use frostgauge_proto::counter::Code;
+use frostgauge_storage::sim::{Plan, SimDisk};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
--- a/crates/counter/tests/crash.rs
+++ b/crates/counter/tests/crash.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{Planted, World};
-use frostgauge_counter::sim::Plan;
+use frostgauge_storage::sim::Plan;
 use std::collections::BTreeSet;
 
 /// Crash points and faults searched. A planted fault is found within the first hundred.
--- a/crates/counter/tests/files.rs
+++ b/crates/counter/tests/files.rs
@@ -4,10 +4,10 @@
 
 use common::{Planted, Sent, World, CONFIG, T};
 use frostgauge_count::Op;
-use frostgauge_counter::sim::{Plan, SimDisk};
-use frostgauge_counter::storage::{read, Disk, Storage};
 use frostgauge_counter::store::{tools, Config, Given, Store};
 use frostgauge_proto::counter::Code;
+use frostgauge_storage::sim::{Plan, SimDisk};
+use frostgauge_storage::{read, Disk, Storage};
 
 /// A world after some steps with everything told, and its disk.
 fn played(seed: u64, steps: usize) -> (World, SimDisk) {
--- /dev/null
+++ b/crates/fleet/src/checks.rs
@@ -0,0 +1,278 @@
+//! What a run is judged by: acts as the servers saw them, versions as the keepers hold them, and editors' answers.
+
+use crate::process::Permit;
+use frostgauge_accord::{
+    contradicts, Gateway, Hash, Micros, Number, Outcome, Proposal, Rules, State, Under, Version,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Faults told in full, most.
+const TOLD: usize = 16;
+
+/// A request that a server got.
+#[derive(Clone, Debug)]
+pub struct Act {
+    /// When, true time.
+    pub at: Micros,
+    /// Through which gateway.
+    pub gateway: Gateway,
+    /// What for, and what it was stamped with.
+    pub permit: Permit,
+}
+
+/// The judge.
+#[derive(Debug)]
+pub struct Checks {
+    within: Micros,
+    rules: BTreeMap<Number, Rules>,
+    hashes: BTreeMap<Number, Hash>,
+    /// The newest version that a gateway has acted under alone, and when first.
+    law: (Number, Micros),
+    first_acts: BTreeMap<Number, Micros>,
+    pairs: BTreeMap<(Number, Number), bool>,
+    worst: Micros,
+    acts: u64,
+    on_ground: u64,
+    between: u64,
+    turned_back: u64,
+    by_gateway: BTreeMap<Gateway, u64>,
+    parts: BTreeMap<Gateway, (Micros, BTreeMap<String, u64>)>,
+    sums: BTreeMap<String, u64>,
+    over: BTreeMap<String, Micros>,
+    told: BTreeMap<u64, Outcome>,
+    numbered: BTreeMap<Number, u64>,
+    records: BTreeMap<Gateway, BTreeMap<Number, Hash>>,
+    faults: Vec<String>,
+    broken: u64,
+}
+
+impl Checks {
+    pub(crate) fn new(within: Micros, rules: Rules) -> Checks {
+        Checks {
+            within,
+            rules: BTreeMap::from([(1, rules)]),
+            hashes: BTreeMap::new(),
+            law: (0, 0),
+            first_acts: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+            worst: 0,
+            acts: 0,
+            on_ground: 0,
+            between: 0,
+            turned_back: 0,
+            by_gateway: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            over: BTreeMap::new(),
+            told: BTreeMap::new(),
+            numbered: BTreeMap::new(),
+            records: BTreeMap::new(),
+            faults: vec![],
+            broken: 0,
+        }
+    }
+
+    pub(crate) fn fault(&mut self, what: String) {
+        self.broken += 1;
+        if self.faults.len() < TOLD {
+            self.faults.push(what);
+        }
+    }
+
+    /// What is wrong, some of it in words.
+    pub fn faults(&self) -> &[String] {
+        &self.faults
+    }
+
+    /// How much is wrong.
+    pub fn broken(&self) -> u64 {
+        self.broken
+    }
+
+    /// The longest that a gateway acted against a version after its first act, microseconds.
+    pub fn worst_contradiction(&self) -> Micros {
+        self.worst
+    }
+
+    /// Requests that servers got.
+    pub fn acts(&self) -> u64 {
+        self.acts
+    }
+
+    /// Of them, those that came on ground.
+    pub fn on_ground(&self) -> u64 {
+        self.on_ground
+    }
+
+    /// Of them, those that came under what several versions allow.
+    pub fn between(&self) -> u64 {
+        self.between
+    }
+
+    /// Requests that a second look, right before the send, turned back.
+    pub fn turned(&self) -> u64 {
+        self.turned_back
+    }
+
+    /// Requests that came through one gateway.
+    pub fn acts_of(&self, gateway: Gateway) -> u64 {
+        self.by_gateway.get(&gateway).copied().unwrap_or(0)
+    }
+
+    /// When a version was first acted under, true time.
+    pub fn first_act(&self, version: Number) -> Option<Micros> {
+        self.first_acts.get(&version).copied()
+    }
+
+    /// Versions whose number an editor was told, by number.
+    pub fn acknowledged(&self) -> &BTreeMap<Number, u64> {
+        &self.numbered
+    }
+
+    pub(crate) fn told(&self, id: u64) -> Option<&Outcome> {
+        self.told.get(&id)
+    }
+
+    pub(crate) fn turned_back(&mut self) {
+        self.turned_back += 1;
+    }
+
+    pub(crate) fn was_told(&mut self, id: u64, outcome: Outcome, proposal: Option<&Proposal>) {
+        if let Outcome::Numbered(number) = outcome {
+            if let Some(other) = self.numbered.insert(number, id).filter(|o| *o != id) {
+                self.fault(format!("version {number} was told to proposals {other} and {id}"));
+            }
+            if let (Some(rules), Some(p)) = (self.rules.get(&number), proposal) {
+                if *rules != p.rules {
+                    self.fault(format!("version {number} is not what proposal {id} asked for"));
+                }
+            }
+        }
+        match self.told.insert(id, outcome.clone()) {
+            Some(before) if before != outcome => {
+                self.fault(format!("proposal {id} was told {before:?}, then {outcome:?}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// A keeper's record: every number means the same everywhere.
+    pub(crate) fn record(&mut self, who: Gateway, record: BTreeMap<Number, Hash>) {
+        if self.records.get(&who) == Some(&record) {
+            return;
+        }
+        for (number, hash) in &record {
+            if self.hashes.get(number).is_some_and(|known| known != hash) {
+                self.fault(format!("version {number} at gateway {who} is another than elsewhere"));
+            }
+            self.hashes.entry(*number).or_insert(*hash);
+        }
+        self.records.insert(who, record);
+    }
+
+    /// At the end, with all keepers back: nothing that an editor was told is gone.
+    pub fn lost(&self, keeper: Gateway) -> usize {
+        let latest = self.records.get(&keeper).and_then(|r| r.keys().next_back().copied()).unwrap_or(0);
+        self.numbered.keys().filter(|n| **n > latest).count()
+    }
+
+    fn against(&mut self, old: Number, new: Number) -> bool {
+        let (a, b) = (self.rules.get(&old), self.rules.get(&new));
+        *self.pairs.entry((old, new)).or_insert_with(|| match (a, b) {
+            (Some(a), Some(b)) => !contradicts(a, b).is_empty(),
+            _ => false,
+        })
+    }
+
+    pub(crate) fn act(&mut self, act: Act, versions: Vec<Version>) {
+        self.acts += 1;
+        *self.by_gateway.entry(act.gateway).or_default() += 1;
+        for version in versions {
+            let hash = version.hash();
+            if *self.hashes.entry(version.number).or_insert(hash) != hash {
+                self.fault(format!("gateway {} acts under another version {}", act.gateway, version.number));
+            }
+            self.rules.entry(version.number).or_insert(version.rules);
+        }
+        let set = act.permit.under.versions();
+        let alone = set.first().copied().filter(|_| set.len() == 1);
+        match (&act.permit.under, alone) {
+            (Under::Ground(_), _) => self.on_ground += 1,
+            (_, None) => self.between += 1,
+            (_, Some(version)) => {
+                self.first_acts.entry(version).or_insert(act.at);
+                if version > self.law.0 {
+                    self.law = (version, act.at);
+                }
+            }
+        }
+        let (law, since) = self.law;
+        let contradicts = match alone {
+            Some(version) if version < law => self.against(version, law),
+            Some(_) => false,
+            None => false,
+        };
+        if contradicts || self.forbidden(&act, law) {
+            let time = act.at - since;
+            self.worst = self.worst.max(time);
+            if time > self.within {
+                let Permit { under, server, tenant, .. } = &act.permit;
+                self.fault(format!(
+                    "gateway {} sent {tenant}'s request to {server} under {under:?}, {} ms after version {law} was first acted under",
+                    act.gateway,
+                    time / 1_000
+                ));
+            }
+        }
+    }
+
+    fn forbidden(&self, act: &Act, law: Number) -> bool {
+        let Some(rules) = self.rules.get(&law) else { return false };
+        let Permit { tenant, class, server, .. } = &act.permit;
+        !rules.gateways.contains(&act.gateway)
+            || !rules.classes.contains_key(class)
+            || !rules.tenants.get(tenant).is_some_and(|t| t.classes.contains(class))
+            || !rules.servers.get(server).is_some_and(|s| s.state == State::Ready)
+    }
+
+    /// What a gateway may let through a second for each tenant now: parts of all gateways stay within the sum.
+    pub(crate) fn parts<'a>(
+        &mut self,
+        at: Micros,
+        who: Gateway,
+        parts: impl Iterator<Item = (&'a str, u64)>,
+    ) {
+        let new: BTreeMap<String, u64> = parts.map(|(t, p)| (t.to_owned(), p)).collect();
+        let (_, old) = self.parts.insert(who, (at, new.clone())).unwrap_or_default();
+        for (tenant, part) in &old {
+            *self.sums.entry(tenant.clone()).or_default() -= part;
+        }
+        for (tenant, part) in &new {
+            *self.sums.entry(tenant.clone()).or_default() += part;
+        }
+        let Some(rules) = self.rules.get(&self.law.0) else { return };
+        let mut told = vec![];
+        let tenants: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+        for tenant in tenants {
+            let most = rules.tenants.get(tenant).and_then(|t| rules.plans.get(&t.plan));
+            let most = most.map_or(0, |p| p.ceiling_milli.unwrap_or(p.rate_milli));
+            let sum = self.sums.get(tenant).copied().unwrap_or(0);
+            if sum <= most {
+                self.over.remove(tenant);
+                continue;
+            }
+            let since = *self.over.entry(tenant.clone()).or_insert(at);
+            // A gateway that is stopped or dead does nothing, whatever it last might have: those are left out.
+            let live: u64 = self
+                .parts
+                .values()
+                .filter(|(seen, _)| at - seen < 1_000_000)
+                .filter_map(|(_, p)| p.get(tenant))
+                .sum();
+            if live > most && at - since > self.within {
+                told.push(format!("parts of {tenant} add up to {live}, over {most}"));
+            }
+        }
+        told.into_iter().for_each(|t| self.fault(t));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/search.rs
@@ -0,0 +1,357 @@
+//! Faults drawn by the thousand, played in virtual time, and what is found made short.
+
+use crate::world::{Given, Plant, Weather, World, SECOND};
+use frostgauge_accord::{Gateway, Message, Micros, Number, Outcome, Rules, State};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+
+/// One thing that goes wrong, or is done; times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Stopped for a time.
+    Pause(Gateway, f64),
+    /// Killed, and started after a time; with power, unsynced bytes are lost.
+    Kill(Gateway, f64, bool),
+    /// Killed, its disk emptied, and started after a time.
+    LoseDisk(Gateway, f64),
+    /// Nothing between two groups for a time, both ways.
+    Split(Vec<Gateway>, f64),
+    /// Nothing from one to the other for a time.
+    OneWay(Gateway, Gateway, f64),
+    /// A link that comes and goes.
+    Flap(Gateway, Gateway, f64),
+    /// Links lose and double so many in a thousand, and take up to so many milliseconds, for a time.
+    Weather(u32, u32, u64, f64),
+    /// Requests take long from the look to the send.
+    Dawdle(Gateway, f64),
+    /// New rules, by the number of a change.
+    Publish(Gateway, u8),
+    /// The latest version is taken back.
+    Withdraw(Gateway),
+    /// A server drains for a time, and the record says so.
+    Drain(u16, f64),
+    /// All processes are killed and started at once.
+    Restart,
+    /// A gateway fails under the next version.
+    Sick(Gateway),
+}
+
+/// A run of faults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    /// Of the fleet's own draws.
+    pub seed: u64,
+    /// Gateways.
+    pub gateways: u16,
+    /// Keepers.
+    pub keepers: u16,
+    /// What, and when it begins, seconds from the start.
+    pub faults: Vec<(f64, Fault)>,
+}
+
+/// How long faults begin, seconds.
+const LENGTH: f64 = 20.0;
+/// How long a fleet has to come to rest after the last fault is over, seconds.
+const REST: f64 = 30.0;
+
+/// Draws a run.
+pub fn draw(seed: u64, gateways: u16) -> Schedule {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let keepers = if gateways < 5 { 3 } else { *[3, 3, 5].choose(&mut rng).unwrap_or(&3) };
+    let mut faults = vec![];
+    // Something must be agreed on for anything to go wrong with it.
+    for _ in 0..rng.random_range(1..=4) {
+        let by = rng.random_range(1..=gateways);
+        faults.push((rng.random_range(0.0..LENGTH), Fault::Publish(by, rng.random_range(0..6))));
+    }
+    for _ in 0..rng.random_range(1..=8) {
+        let any = rng.random_range(1..=gateways);
+        let keeper = rng.random_range(1..=keepers);
+        let one = if rng.random() { keeper } else { any };
+        let time = rng.random_range(0.2..8.0);
+        let fault = match rng.random_range(0..15) {
+            0 | 1 => Fault::Pause(one, time),
+            2 | 3 => Fault::Kill(one, rng.random_range(0.05..4.0), rng.random()),
+            4 => Fault::LoseDisk(keeper, rng.random_range(0.05..3.0)),
+            5 | 6 => {
+                let some = (1..=gateways).filter(|_| rng.random()).collect();
+                Fault::Split(some, time)
+            }
+            7 => Fault::Split(vec![one], time),
+            8 => Fault::OneWay(one, rng.random_range(1..=keepers), time),
+            9 => Fault::OneWay(rng.random_range(1..=keepers), one, time),
+            10 => Fault::Flap(one, rng.random_range(1..=keepers), time),
+            11 => Fault::Weather(
+                rng.random_range(0..300),
+                rng.random_range(0..200),
+                rng.random_range(5..400),
+                time,
+            ),
+            12 => match rng.random_range(0..3) {
+                0 => Fault::Withdraw(any),
+                1 => Fault::Sick(any),
+                _ => Fault::Restart,
+            },
+            13 => Fault::Drain(rng.random_range(1..=4), time),
+            _ => Fault::Dawdle(any, rng.random_range(0.01..0.2)),
+        };
+        faults.push((rng.random_range(0.0..LENGTH), fault));
+    }
+    faults.sort_by(|a, b| a.0.total_cmp(&b.0));
+    Schedule { seed, gateways, keepers, faults }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcomes {
+    /// The worst contradiction, microseconds.
+    pub worst: Micros,
+    /// What was wrong, in words.
+    pub faults: Vec<String>,
+    /// Versions that editors were told.
+    pub versions: usize,
+    /// Of them, missing at some keeper at the end.
+    pub lost: usize,
+    /// Requests that servers got.
+    pub acts: u64,
+    /// Of them, on ground.
+    pub on_ground: u64,
+    /// Seconds from the last fault's end to rest; none: it never came.
+    pub rest: Option<f64>,
+    /// From publishing to the first act under a version, microseconds, each.
+    pub took: Vec<Micros>,
+}
+
+impl Outcomes {
+    /// Whether all was kept.
+    pub fn kept(&self) -> bool {
+        self.faults.is_empty() && self.lost == 0
+    }
+}
+
+/// A change of the rules, by number: all of them contradict the version before.
+fn change(rules: &mut Rules, which: u8) {
+    let halve = |rules: &mut Rules, plan: &str, up: bool| {
+        if let Some(plan) = rules.plans.get_mut(plan) {
+            let by = |x: u64| if up { x * 5 / 4 } else { x * 4 / 5 };
+            (plan.rate_milli, plan.ceiling_milli) = (by(plan.rate_milli), plan.ceiling_milli.map(by));
+        }
+    };
+    match which {
+        0 => halve(rules, "small", false),
+        1 => halve(rules, "small", true),
+        2 => halve(rules, "large", false),
+        3 => {
+            let report = rules.classes.get_mut("report");
+            report.into_iter().for_each(|c| c.cost_milli += 100);
+        }
+        4 => {
+            let norte = rules.tenants.get_mut("norte");
+            norte.into_iter().for_each(|t| {
+                if !t.classes.remove("extra") {
+                    t.classes.insert("extra".to_owned());
+                }
+            });
+            rules.classes.entry("extra".to_owned()).or_insert(frostgauge_accord::Class {
+                cost_milli: 500,
+                repeatable: true,
+                ground: false,
+            });
+        }
+        _ => {
+            let sul = rules.tenants.get_mut("sul");
+            sul.into_iter()
+                .for_each(|t| t.plan = if t.plan == "small" { "large" } else { "small" }.to_owned());
+        }
+    }
+}
+
+/// Plays a run.
+pub fn play(schedule: &Schedule, plant: Option<Plant>) -> Outcomes {
+    let mut given = Given::fleet(schedule.gateways, schedule.keepers);
+    (given.seed, given.plant) = (schedule.seed, plant);
+    let mut world = World::new(given);
+    world.run(3 * SECOND);
+    let begin = world.now();
+    // What is to be done, by time; what undoes a fault comes after it.
+    let mut steps: Vec<(Micros, usize, bool)> = vec![];
+    for (k, (at, fault)) in schedule.faults.iter().enumerate() {
+        let at = begin + (at * SECOND as f64) as Micros;
+        steps.push((at, k, false));
+        let long = match fault {
+            Fault::Pause(_, t)
+            | Fault::Kill(_, t, _)
+            | Fault::LoseDisk(_, t)
+            | Fault::Split(_, t)
+            | Fault::OneWay(_, _, t)
+            | Fault::Weather(_, _, _, t)
+            | Fault::Drain(_, t)
+            | Fault::Flap(_, _, t) => *t,
+            _ => 0.0,
+        };
+        if let Fault::Flap(_, _, t) = fault {
+            let half = (t * SECOND as f64 / 6.0) as Micros;
+            steps.extend((1..6).map(|n| (at + n * half, k, n % 2 == 1)));
+        }
+        steps.push((at + (long * SECOND as f64) as Micros, k, true));
+    }
+    steps.sort_unstable();
+    let mut outcomes = Outcomes::default();
+    let (mut asked, mut published): (Vec<(Gateway, u64)>, Vec<(u64, Micros)>) = (vec![], vec![]);
+    for (at, k, over) in steps {
+        world.run(at.saturating_sub(world.now()));
+        let (_, fault) = &schedule.faults[k];
+        step(&mut world, fault, over, &mut asked, &mut published);
+    }
+    world.mend_all();
+    world.weather(Weather { loss: 0, doubled: 0, delay: (500, 5_000) });
+    let ended = world.now();
+    while world.now() < ended + (REST * SECOND as f64) as Micros {
+        world.run(SECOND / 4);
+        // Editors that heard nothing say it again, with the same number.
+        for (by, id) in
+            asked.iter().filter(|(_, id)| world.outcome(*id).is_none()).copied().collect::<Vec<_>>()
+        {
+            world.repeat(by, id);
+        }
+        if world.at_rest().is_ok() {
+            outcomes.rest = Some((world.now() - ended) as f64 / SECOND as f64);
+            break;
+        }
+    }
+    if let Err(why) = world.at_rest() {
+        outcomes.faults.push(format!("not at rest {REST} s after the last fault: {why}"));
+    }
+    let checks = world.checks();
+    outcomes.worst = checks.worst_contradiction();
+    outcomes.faults.extend(checks.faults().iter().cloned());
+    outcomes.versions = checks.acknowledged().len();
+    outcomes.lost = world.first_keepers().into_iter().map(|k| checks.lost(k)).max().unwrap_or(0);
+    (outcomes.acts, outcomes.on_ground) = (checks.acts(), checks.on_ground());
+    for (id, at) in published {
+        if let Some(Outcome::Numbered(n)) = world.outcome(id) {
+            outcomes.took.extend(checks.first_act(*n).map(|first| first.saturating_sub(at)));
+        }
+    }
+    outcomes
+}
+
+fn step(
+    world: &mut World,
+    fault: &Fault,
+    over: bool,
+    asked: &mut Vec<(Gateway, u64)>,
+    published: &mut Vec<(u64, Micros)>,
+) {
+    let cut =
+        |world: &mut World, a: Gateway, b: Gateway| if over { world.mend(a, b) } else { world.cut(a, b) };
+    match fault {
+        Fault::Pause(who, _) if over => world.resume(*who),
+        Fault::Pause(who, _) => world.pause(*who),
+        Fault::Kill(who, _, _) | Fault::LoseDisk(who, _) if over => world.start(*who),
+        Fault::Kill(who, _, power) => world.kill(*who, *power),
+        Fault::LoseDisk(who, _) => {
+            // One at a time: with two of three gone at once there is nobody to ask.
+            let whole = world.first_keepers().iter().all(|k| {
+                world.process(*k).and_then(|p| p.keeper()).is_some_and(frostgauge_accord::Keeper::seated)
+            });
+            world.kill(*who, true);
+            if whole {
+                world.lose_disk(*who);
+            }
+        }
+        Fault::Split(some, _) => {
+            let some: BTreeSet<Gateway> = some.iter().copied().collect();
+            let others: Vec<Gateway> = world.gateways().filter(|g| !some.contains(g)).collect();
+            for a in &some {
+                for b in &others {
+                    cut(world, *a, *b);
+                    cut(world, *b, *a);
+                }
+            }
+        }
+        Fault::OneWay(a, b, _) | Fault::Flap(a, b, _) => cut(world, *a, *b),
+        Fault::Weather(loss, doubled, ms, _) => {
+            let bad = Weather { loss: *loss, doubled: *doubled, delay: (500, ms * 1_000) };
+            world.weather(if over { Weather { loss: 0, doubled: 0, delay: (500, 5_000) } } else { bad });
+        }
+        _ if over && !matches!(fault, Fault::Drain(..)) => {}
+        Fault::Dawdle(who, time) => world.dawdle(*who, (time * SECOND as f64) as Micros),
+        Fault::Publish(by, which) => {
+            let (base, mut rules) = world.latest();
+            change(&mut rules, *which);
+            let id = world.publish(*by, base, rules);
+            asked.push((*by, id));
+            published.push((id, world.now()));
+        }
+        Fault::Withdraw(by) => {
+            let (version, _) = world.latest();
+            world.operate(*by, Message::Withdraw { version, reason: "an operator's word".to_owned() });
+        }
+        Fault::Drain(server, _) => {
+            let name = format!("s{server}");
+            world.drain(&name, !over);
+            let (base, mut rules) = world.latest();
+            let state = if over { State::Ready } else { State::Draining };
+            rules.servers.get_mut(&name).into_iter().for_each(|s| s.state = state);
+            let id = world.publish(1, base, rules);
+            asked.push((1, id));
+        }
+        Fault::Restart => {
+            let all: Vec<Gateway> = world.gateways().collect();
+            all.iter().for_each(|g| world.kill(*g, false));
+            all.iter().for_each(|g| world.start(*g));
+        }
+        Fault::Sick(who) => {
+            let next: Number = world.latest().0 + 1;
+            world.fails_under(*who, next);
+        }
+    }
+}
+
+/// Takes faults away for as long as what is left still fails: the shortest run found.
+pub fn shrink(schedule: &Schedule, fails: impl Fn(&Schedule) -> bool) -> Schedule {
+    let mut best = schedule.clone();
+    let mut k = 0;
+    while k < best.faults.len() {
+        let mut less = best.clone();
+        less.faults.remove(k);
+        if fails(&less) {
+            best = less;
+        } else {
+            k += 1;
+        }
+    }
+    best
+}
+
+/// Figures of many runs, and whether all was kept.
+pub fn figures(gateways: u16, seed: u64, within_ms: u64, all: &[(Schedule, Outcomes)]) -> (Value, bool) {
+    let kept = all.iter().all(|(_, o)| o.kept());
+    let mut took: Vec<Micros> = all.iter().flat_map(|(_, o)| o.took.iter().copied()).collect();
+    took.sort_unstable();
+    let mut worst: Vec<Micros> = all.iter().map(|(_, o)| o.worst).collect();
+    worst.sort_unstable();
+    let part = |sorted: &[Micros], p: usize| {
+        sorted.get((sorted.len().saturating_sub(1)) * p / 100).map_or(0.0, |m| *m as f64 / 1_000.0)
+    };
+    let (acts, ground): (u64, u64) =
+        (all.iter().map(|(_, o)| o.acts).sum(), all.iter().map(|(_, o)| o.on_ground).sum());
+    let rests = all.iter().filter_map(|(_, o)| o.rest);
+    let value = json!({
+        "verdict": if kept { "kept" } else { "broken" },
+        "schedules": all.len(), "gateways": gateways, "first_seed": seed,
+        "worst_contradiction_ms": part(&worst, 100), "p99_contradiction_ms": part(&worst, 99),
+        "runs_with_any": worst.iter().filter(|w| **w > 0).count(), "within_ms": within_ms,
+        "versions": all.iter().map(|(_, o)| o.versions).sum::<usize>(),
+        "versions_lost": all.iter().map(|(_, o)| o.lost).sum::<usize>(),
+        "runs_broken": all.iter().filter(|(_, o)| !o.kept()).count(),
+        "acts": acts, "acts_on_ground": ground,
+        "to_first_act_ms": {"p50": part(&took, 50), "p99": part(&took, 99), "max": part(&took, 100)},
+        "to_rest_s_max": rests.fold(0.0, f64::max),
+    });
+    (value, kept)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod counted;
 pub mod facts;
 pub mod fleet;
+pub mod fleet_search;
 pub mod process;
 pub mod quota;
 pub mod report;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,7 +1,7 @@
 //! `frostgauge-rig`: scripted days on loopback.
 
 use clap::{Parser, Subcommand};
-use frostgauge_rig::{bench, bench_counter, roles, run, scenario, search};
+use frostgauge_rig::{bench, bench_counter, fleet_search, roles, run, scenario, search};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -48,6 +48,23 @@
         #[arg(long)]
         counter: bool,
     },
+    /// Search schedules of faults in virtual time for one under which the fleet's agreed rules are contradicted for
+    /// too long, a sum is passed, or a version is lost. Exit code 0 only if none does; the shortest found is told.
+    #[command(after_help = fleet_search::plants())]
+    FleetSearch {
+        /// How many schedules.
+        #[arg(long, default_value_t = 100)]
+        schedules: u64,
+        /// Gateways of each.
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u16).range(3..=1024))]
+        gateways: u16,
+        /// Seed of the first; the others follow.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Plant a fault, that must then be found.
+        #[arg(long)]
+        plant: Option<String>,
+    },
     /// Measure, in turns: the gateway against a plain relay and against the servers themselves, or the counter
     /// against a bare loop of append and sync and against itself without a log.
     Bench {
@@ -80,6 +97,18 @@
                 }
             }
         }
+        Command::FleetSearch { schedules, gateways, seed, plant } => {
+            match fleet_search::search(schedules, gateways, seed, plant.as_deref()) {
+                Ok((figures, kept)) => {
+                    println!("{figures}");
+                    ExitCode::from(u8::from(!kept))
+                }
+                Err(reason) => {
+                    eprintln!("fleet-search: {reason}");
+                    ExitCode::from(2)
+                }
+            }
+        }
         Command::Bench { what, seconds, rounds } => {
             let measure = if what == "counter" { bench_counter::run } else { bench::run };
             let program = std::env::current_exe().map_err(|e| e.to_string());
--- a/crates/counter/src/sim.rs
+++ b/crates/storage/src/sim.rs
@@ -1,10 +1,10 @@
-//! A disk in memory that fails on purpose: a stand-in for tests of the log.
+//! A disk in memory that fails on purpose: a stand-in for tests of what is built on [`Storage`].
 //!
 //! It keeps what is durable apart from what is merely written. A crash keeps any part of the rest: sectors of
 //! unsynced writes each by itself, so torn and out of order; names of files made, renamed or removed, each by
 //! itself.
 
-use crate::storage::Storage;
+use crate::Storage;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
