Search draws faults close to versions, slow gateways and keepers that restart; leases allow none

Change: half of the faults come within 1.5 s of a publication; schedules with keepers that forget, and with answers long on their way; the verdict wants no contradiction under a lease.

--- a/crates/fleet/src/checks.rs
+++ b/crates/fleet/src/checks.rs
@@ -33,6 +33,7 @@
     first_acts: BTreeMap<Number, Micros>,
     pairs: BTreeMap<(Number, Number), bool>,
     worst: Micros,
+    worst_leased: Micros,
     acts: u64,
     on_ground: u64,
     between: u64,
@@ -59,6 +60,7 @@
             first_acts: BTreeMap::new(),
             pairs: BTreeMap::new(),
             worst: 0,
+            worst_leased: 0,
             acts: 0,
             on_ground: 0,
             between: 0,
@@ -97,6 +99,11 @@
         self.worst
     }
 
+    /// The longest by a gateway with a lease, microseconds.
+    pub fn worst_leased(&self) -> Micros {
+        self.worst_leased
+    }
+
     /// Requests that servers got.
     pub fn acts(&self) -> u64 {
         self.acts
@@ -227,6 +234,10 @@
         if contradicts || self.forbidden(&act, law) {
             let time = act.at - since;
             self.worst = self.worst.max(time);
+            if matches!(act.permit.under, Under::Lease(..)) {
+                // The first act is the law's own: one at the same moment is not after it.
+                self.worst_leased = self.worst_leased.max(time);
+            }
             if time > self.within {
                 let Permit { under, server, tenant, .. } = &act.permit;
                 self.fault(format!(
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -25,6 +25,8 @@
     Flap(Gateway, Gateway, f64),
     /// Links lose and double so many in a thousand, and take up to so many milliseconds, for a time.
     Weather(u32, u32, u64, f64),
+    /// Messages to a gateway take so many milliseconds longer, for a time.
+    Slow(Gateway, u64, f64),
     /// Requests take long from the look to the send.
     Dawdle(Gateway, f64),
     /// New rules, by the number of a change.
@@ -35,6 +37,8 @@
     Drain(u16, f64),
     /// All processes are killed and started at once.
     Restart,
+    /// All keepers are killed, and started after a time.
+    Keepers(f64),
     /// A gateway fails under the next version.
     Sick(Gateway),
 }
@@ -63,9 +67,11 @@
     let keepers = if gateways < 5 { 3 } else { *[3, 3, 5].choose(&mut rng).unwrap_or(&3) };
     let mut faults = vec![];
     // Something must be agreed on for anything to go wrong with it.
+    let mut published = vec![];
     for _ in 0..rng.random_range(1..=4) {
-        let by = rng.random_range(1..=gateways);
-        faults.push((rng.random_range(0.0..LENGTH), Fault::Publish(by, rng.random_range(0..6))));
+        let (by, at) = (rng.random_range(1..=gateways), rng.random_range(0.0..LENGTH));
+        faults.push((at, Fault::Publish(by, rng.random_range(0..6))));
+        published.push(at);
     }
     for _ in 0..rng.random_range(1..=8) {
         let any = rng.random_range(1..=gateways);
@@ -90,15 +96,35 @@
                 rng.random_range(5..400),
                 time,
             ),
-            12 => match rng.random_range(0..3) {
+            12 => match rng.random_range(0..4) {
                 0 => Fault::Withdraw(any),
                 1 => Fault::Sick(any),
+                2 => Fault::Keepers(rng.random_range(0.02..1.0)),
                 _ => Fault::Restart,
             },
             13 => Fault::Drain(rng.random_range(1..=4), time),
             _ => Fault::Dawdle(any, rng.random_range(0.01..0.2)),
         };
-        faults.push((rng.random_range(0.0..LENGTH), fault));
+        // Half of them come close to a version: what is being agreed on is what can go wrong.
+        let at = match published.choose(&mut rng).filter(|_| rng.random()) {
+            Some(at) => (at + rng.random_range(-1.5..1.5)).max(0.0),
+            None => rng.random_range(0.0..LENGTH),
+        };
+        faults.push((at, fault));
+    }
+    if rng.random_range(0..6) == 0 {
+        // Who is cut off keeps its lease; keepers that start have forgotten it; and a version comes just then.
+        let (at, one) = (rng.random_range(0.0..LENGTH), rng.random_range(1..=gateways));
+        faults.push((at, Fault::Split(vec![one], rng.random_range(1.0..6.0))));
+        faults.push((at + rng.random_range(0.0..0.3), Fault::Keepers(rng.random_range(0.02..0.2))));
+        faults.push((at + rng.random_range(0.2..0.8), Fault::Publish(1, rng.random_range(0..6))));
+    }
+    if rng.random_range(0..6) == 0 {
+        // Its answers are on their way for long, and then none come any more.
+        let (at, one) = (rng.random_range(1.0..LENGTH), rng.random_range(keepers..=gateways));
+        faults.push((at, Fault::Slow(one, rng.random_range(200..900), 6.0)));
+        faults.push((at + 1.5, Fault::Split(vec![one], rng.random_range(2.0..6.0))));
+        faults.push((at + rng.random_range(1.3..2.5), Fault::Publish(1, rng.random_range(0..6))));
     }
     faults.sort_by(|a, b| a.0.total_cmp(&b.0));
     Schedule { seed, gateways, keepers, faults }
@@ -109,6 +135,8 @@
 pub struct Outcomes {
     /// The worst contradiction, microseconds.
     pub worst: Micros,
+    /// The worst by a gateway with a lease, microseconds: the way leases are given allows none.
+    pub worst_leased: Micros,
     /// What was wrong, in words.
     pub faults: Vec<String>,
     /// Versions that editors were told.
@@ -128,7 +156,7 @@
 impl Outcomes {
     /// Whether all was kept.
     pub fn kept(&self) -> bool {
-        self.faults.is_empty() && self.lost == 0
+        self.faults.is_empty() && self.lost == 0 && self.worst_leased == 0
     }
 }
 
@@ -189,6 +217,8 @@
             | Fault::OneWay(_, _, t)
             | Fault::Weather(_, _, _, t)
             | Fault::Drain(_, t)
+            | Fault::Keepers(t)
+            | Fault::Slow(_, _, t)
             | Fault::Flap(_, _, t) => *t,
             _ => 0.0,
         };
@@ -226,7 +256,7 @@
         outcomes.faults.push(format!("not at rest {REST} s after the last fault: {why}"));
     }
     let checks = world.checks();
-    outcomes.worst = checks.worst_contradiction();
+    (outcomes.worst, outcomes.worst_leased) = (checks.worst_contradiction(), checks.worst_leased());
     outcomes.faults.extend(checks.faults().iter().cloned());
     outcomes.versions = checks.acknowledged().len();
     outcomes.lost = world.first_keepers().into_iter().map(|k| checks.lost(k)).max().unwrap_or(0);
@@ -274,11 +304,12 @@
             }
         }
         Fault::OneWay(a, b, _) | Fault::Flap(a, b, _) => cut(world, *a, *b),
+        Fault::Slow(who, ms, _) => world.slow(*who, if over { 0 } else { ms * 1_000 }),
         Fault::Weather(loss, doubled, ms, _) => {
             let bad = Weather { loss: *loss, doubled: *doubled, delay: (500, ms * 1_000) };
             world.weather(if over { Weather { loss: 0, doubled: 0, delay: (500, 5_000) } } else { bad });
         }
-        _ if over && !matches!(fault, Fault::Drain(..)) => {}
+        _ if over && !matches!(fault, Fault::Drain(..) | Fault::Keepers(_)) => {}
         Fault::Dawdle(who, time) => world.dawdle(*who, (time * SECOND as f64) as Micros),
         Fault::Publish(by, which) => {
             let (base, mut rules) = world.latest();
@@ -300,6 +331,10 @@
             let id = world.publish(1, base, rules);
             asked.push((1, id));
         }
+        Fault::Keepers(_) => {
+            let keepers = world.first_keepers();
+            keepers.into_iter().for_each(|k| if over { world.start(k) } else { world.kill(k, false) });
+        }
         Fault::Restart => {
             let all: Vec<Gateway> = world.gateways().collect();
             all.iter().for_each(|g| world.kill(*g, false));
@@ -344,7 +379,8 @@
     let value = json!({
         "verdict": if kept { "kept" } else { "broken" },
         "schedules": all.len(), "gateways": gateways, "first_seed": seed,
-        "worst_contradiction_ms": part(&worst, 100), "p99_contradiction_ms": part(&worst, 99),
+        "worst_contradiction_ms": part(&worst, 100),
+        "worst_under_a_lease_ms": all.iter().map(|(_, o)| o.worst_leased).max().unwrap_or(0) as f64 / 1_000.0, "p99_contradiction_ms": part(&worst, 99),
         "runs_with_any": worst.iter().filter(|w| **w > 0).count(), "within_ms": within_ms,
         "versions": all.iter().map(|(_, o)| o.versions).sum::<usize>(),
         "versions_lost": all.iter().map(|(_, o)| o.lost).sum::<usize>(),
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -155,6 +155,8 @@
 struct Net {
     cuts: BTreeSet<(Gateway, Gateway)>,
     weather: Weather,
+    /// Messages to a gateway take so much longer.
+    slow: BTreeMap<Gateway, Micros>,
     rng: ChaCha8Rng,
     out: Vec<(Gateway, Vec<u8>)>,
     bytes: u64,
@@ -213,6 +215,7 @@
         let net = Net {
             cuts: BTreeSet::new(),
             weather,
+            slow: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(rng.random()),
             out: vec![],
             bytes: 0,
@@ -446,6 +449,11 @@
         self.net.cuts.clear();
     }
 
+    /// Messages to a gateway take so much longer from now on.
+    pub fn slow(&mut self, who: Gateway, by: Micros) {
+        self.net.slow.insert(who, by);
+    }
+
     /// What links do.
     pub fn weather(&mut self, weather: Weather) {
         self.net.weather = weather;
@@ -579,7 +587,8 @@
             }
             let twice = self.net.rng.random_range(0..1_000) < weather.doubled;
             for _ in 0..=usize::from(twice) {
-                let at = self.now + self.net.rng.random_range(weather.delay.0..=weather.delay.1);
+                let slow = self.net.slow.get(&to).copied().unwrap_or(0);
+                let at = self.now + slow + self.net.rng.random_range(weather.delay.0..=weather.delay.1);
                 self.push(at, Event::Bytes { from: who, to, bytes: bytes.clone() });
             }
         }
