--- a/crates/accord/src/follower.rs
+++ b/crates/accord/src/follower.rs
@@ -3,7 +3,7 @@
 //! It asks all keepers alike, and acts under a version for as long as a majority of them has granted it, counted
 //! from its own sending of the question. Without that it acts on the ground of the version it stands on.
 
-use crate::allowance::{meet_all, Allowance};
+use crate::allowance::{contradicts, meet_all, Allowance};
 use crate::message::{versions, Answer, Ask, Message};
 use crate::record::{Gateway, Number, Version};
 use crate::tuning::{Micros, Tuning};
@@ -277,6 +277,16 @@
         if acting.is_empty() || set.is_subset(&acting) || set.last() <= acting.last() {
             return;
         }
+        let rules = |n: &Number| self.known.get(n).map(|v| &v.rules);
+        let apart = acting.iter().any(|a| {
+            set.iter().any(|b| match (rules(a), rules(b)) {
+                (Some(a), Some(b)) => !contradicts(a, b).is_empty(),
+                _ => true,
+            })
+        });
+        if !apart {
+            return;
+        }
         let mut within: BTreeSet<Number> = acting.union(set).copied().collect();
         if let Some((_, _, earlier)) = &self.within {
             within.extend(earlier);
--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -83,6 +83,13 @@
     tally: Tally,
 }
 
+impl Seat {
+    /// How far its log goes, and how far it knows it to be decided.
+    fn far(&self) -> (u64, u64) {
+        (self.omni.get_accepted_idx() as u64, self.omni.get_decided_idx() as u64)
+    }
+}
+
 /// Keepers that enter a configuration with an empty disk.
 type Fresh = BTreeMap<Gateway, u64>;
 
@@ -229,7 +236,7 @@
     pub fn handle(&mut self, now: Micros, from: Gateway, message: Message) -> Result<(), Stop> {
         match message {
             Message::Ask(ask) => self.ask(now, from, &ask),
-            Message::Paxos { config, decided, message } => self.paxos(from, config, decided, *message),
+            Message::Paxos { config, far, message } => self.paxos(from, config, far, *message),
             Message::Behind { config } if config < self.config => self.install(from),
             Message::Install(base) => return self.installed(now, *base),
             Message::Lost { nonce } => {
@@ -290,7 +297,7 @@
         }
     }
 
-    fn paxos(&mut self, from: Gateway, config: u32, decided: u64, message: Paxos<Entry>) {
+    fn paxos(&mut self, from: Gateway, config: u32, far: (u64, u64), message: Paxos<Entry>) {
         if config > self.config {
             self.out.push((from, Message::Behind { config: self.config }));
             return;
@@ -307,11 +314,13 @@
         let known = seat.keepers.iter().position(|k| *k == from).map(|k| k as u64 + 1);
         if known == Some(by) && to == seat.omni.get_pid() && by != to {
             seat.omni.handle_incoming(message);
-            // What a lost message decided is told by no later one, unless something is asked for: a keeper that was
-            // cut off would go on giving leases by an old record. The library asks where a link was opened anew;
-            // here links do not say so, but each message says how far its sender is.
+            // What a lost message brought or decided is told by no later one while nothing new is asked for: a keeper
+            // that was cut off would go on giving leases by an old record, and an entry that too few have would wait
+            // for ever. The library asks where a link was opened anew; here links do not say so, but each message
+            // says how far its sender is.
             let leader = seat.omni.get_current_leader().map(|(l, _)| l);
-            let behind = decided > seat.omni.get_decided_idx() as u64;
+            let (accepted, decided) = seat.far();
+            let behind = far.0 > accepted || far.1 > decided;
             if leader == Some(by) && !behind {
                 seat.behind_since = None;
             } else if leader == Some(by)
@@ -381,7 +390,7 @@
                     _ => break,
                 }
             }
-            let (mut messages, decided) = (vec![], decided as u64);
+            let (mut messages, far) = (vec![], seat.far());
             seat.omni.take_outgoing_messages(&mut messages);
             for message in messages {
                 let to = match &message {
@@ -389,7 +398,7 @@
                     Paxos::BLE(m) => m.to,
                 };
                 if let Some(to) = (to as usize).checked_sub(1).and_then(|k| seat.keepers.get(k)) {
-                    let message = Message::Paxos { config: self.config, decided, message: Box::new(message) };
+                    let message = Message::Paxos { config: self.config, far, message: Box::new(message) };
                     self.out.push((*to, message));
                 }
             }
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -64,8 +64,8 @@
     Paxos {
         /// Which.
         config: u32,
-        /// Entries that the sender knows to be decided.
-        decided: u64,
+        /// Entries that the sender has, and those it knows to be decided.
+        far: (u64, u64),
         /// The consensus's own.
         message: Box<omnipaxos::messages::Message<Entry>>,
     },
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -37,8 +37,10 @@
 enum Seat<S> {
     None,
     Up(Box<Keeper<S>>),
-    /// Its disk failed: it is opened again at a time.
-    Down(Micros),
+    /// Its disk failed: the folder is opened again at a time.
+    Down(Micros, S),
+    /// Its folder is damaged: what was found.
+    Damaged(String),
 }
 
 /// A permit to send: looked at again right before the bytes go.
@@ -132,7 +134,8 @@
     pub fn end(self) -> (Option<S>, Option<S>) {
         let keeps = match self.keeper {
             Seat::Up(keeper) => Some(keeper.into_storage()),
-            _ => None,
+            Seat::Down(_, folder) => Some(folder),
+            Seat::None | Seat::Damaged(_) => None,
         };
         (keeps, self.store.map(Journal::into_storage))
     }
@@ -141,27 +144,33 @@
     pub fn next_wake(&self) -> Micros {
         let keeper = match &self.keeper {
             Seat::Up(keeper) => keeper.next_wake(),
-            Seat::Down(at) => *at,
-            Seat::None => Micros::MAX,
+            Seat::Down(at, _) => *at,
+            Seat::None | Seat::Damaged(_) => Micros::MAX,
         };
         keeper.min(self.follower.next_wake())
     }
 
-    /// Whether its keeper's disk failed and is to be opened again by [`Process::revive`].
-    pub fn wants_disk(&self, now: Micros) -> bool {
-        matches!(self.keeper, Seat::Down(at) if now >= at)
+    /// What was found damaged in the keeper's folder, if it could not be opened again.
+    pub fn damaged(&self) -> Option<&str> {
+        match &self.keeper {
+            Seat::Damaged(why) => Some(why),
+            _ => None,
+        }
     }
 
-    /// Opens the keeper's folder again.
-    ///
-    /// # Errors
-    /// It is damaged, with file and place; it is asked for again later.
-    pub fn revive(&mut self, now: Micros, folder: S, draw: u64) -> Result<(), String> {
-        self.keeper = Seat::Down(now + RESTART);
-        let Start { me, tuning, .. } = self.start;
-        let keeper = Keeper::open(now, me, folder, &self.start.keepers, draw | 1, tuning)?;
-        self.keeper = Seat::Up(Box::new(keeper));
-        Ok(())
+    /// Opens the folder of a keeper that stopped: the consensus begins again from what is durable.
+    fn revive(&mut self, now: Micros) {
+        if !matches!(self.keeper, Seat::Down(at, _) if now >= at) {
+            return;
+        }
+        let Seat::Down(_, folder) = std::mem::replace(&mut self.keeper, Seat::None) else { return };
+        // Another number than that of the process's first: what it was let in by before is not this.
+        let Start { me, tuning, draw, .. } = self.start;
+        let nonce = (draw ^ self.keeper_stops.rotate_left(32)) | 1;
+        self.keeper = match Keeper::open(now, me, folder, &self.start.keepers, nonce, tuning) {
+            Ok(keeper) => Seat::Up(Box::new(keeper)),
+            Err(why) => Seat::Damaged(why),
+        };
     }
 
     /// Takes bytes from one whom the link has shown to be `from`.
@@ -194,14 +203,18 @@
     }
 
     fn failed(&mut self, now: Micros, stop: Option<Stop>) {
-        if stop.is_some() {
+        if stop.is_none() {
+            return;
+        }
+        if let Seat::Up(keeper) = std::mem::replace(&mut self.keeper, Seat::None) {
             self.keeper_stops += 1;
-            self.keeper = Seat::Down(now + RESTART);
+            self.keeper = Seat::Down(now + RESTART, keeper.into_storage());
         }
     }
 
     /// Does what is due.
     pub fn wake(&mut self, now: Micros, net: &mut impl Transport) {
+        self.revive(now);
         let failed = match &mut self.keeper {
             Seat::Up(keeper) => keeper.advance(now).err(),
             _ => None,
--- a/crates/fleet/src/story.rs
+++ b/crates/fleet/src/story.rs
@@ -33,10 +33,17 @@
         &mut self.world
     }
 
-    /// Lets time go by.
+    /// Lets time go by. An editor that has heard nothing says it again each second, as the same proposal.
     #[must_use]
     pub fn after(mut self, seconds: f64) -> Story {
-        self.world.run(micros(seconds));
+        let end = self.world.now() + micros(seconds);
+        while self.world.now() + SECOND < end {
+            self.world.run(SECOND);
+            if let Some(id) = self.last.filter(|id| self.world.outcome(*id).is_none()) {
+                self.world.repeat(self.editor, id);
+            }
+        }
+        self.world.run(end - self.world.now());
         self
     }
 
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -395,6 +395,25 @@
         }
     }
 
+    /// Something goes wrong with the disk of a keeper that is down, counted from its next start.
+    pub fn spoil_disk(&mut self, who: Gateway, plan: DiskPlan) {
+        let disk = self.machines.get_mut(&who).and_then(|m| m.keeps.as_mut());
+        disk.into_iter().for_each(|d| d.plan(plan));
+    }
+
+    /// A machine that is down comes back with a clock that shows something else.
+    pub fn other_clock(&mut self, who: Gateway, shows: Micros) {
+        let now = self.now;
+        if let Some(m) = self.machines.get_mut(&who).filter(|m| m.process.is_none()) {
+            m.base = (now, shows);
+        }
+    }
+
+    /// Bytes come to a process under somebody's name, as from a link that was shown to be theirs.
+    pub fn inject(&mut self, from: Gateway, to: Gateway, bytes: Vec<u8>) {
+        self.push(self.now + 1, Event::Bytes { from, to, bytes });
+    }
+
     /// A gateway that is down gets a folder to be a keeper with.
     pub fn give_disk(&mut self, who: Gateway) {
         let draw = self.rng.random();
