Links to the consensus neither double nor reorder; its panic stops the keeper, not the gateway

The library relies on FIFO links; a late answer to a promise, taken in the next round of the same ballot, cuts decided entries off the log, silently in a release. Change: messages between keepers carry starts of the sender's folder (kept on disk) and a count; what is not newer is dropped. The library keeps its assertions in a release, and a panic of it stops the keeper before anything of the batch is durable.

--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -35,6 +35,8 @@
 enum Frame {
     Base(Base),
     Ops(Vec<Op>),
+    /// How many times this folder was opened.
+    Starts(u64),
 }
 
 #[derive(Debug, Default)]
@@ -198,6 +200,7 @@
     journal: Journal<S>,
     mirror: Mirror,
     base: Option<Base>,
+    starts: u64,
     syncs: u64,
 }
 
@@ -212,15 +215,25 @@
     pub(crate) fn open(storage: S) -> Result<Disk<S>, String> {
         let place = storage.place();
         let (journal, found) = Journal::open(storage, NAME)?;
-        let (mut base, mut state) = (None, State::default());
+        let (mut base, mut state, mut starts) = (None, State::default(), 0);
         for (k, bytes) in found.frames.iter().enumerate() {
             let read = postcard::from_bytes::<Frame>(bytes);
             match read.map_err(|e| format!("{place}/{NAME}: frame {k} is of an unknown form: {e}"))? {
                 Frame::Base(b) => (base, state) = (Some(b), State::default()),
                 Frame::Ops(ops) => ops.into_iter().for_each(|op| state.apply(op)),
+                Frame::Starts(n) => starts = n,
             }
         }
-        Ok(Disk { journal, mirror: Mirror(Arc::new(Mutex::new(state))), base, syncs: 0 })
+        starts += 1;
+        let mut disk = Disk { journal, mirror: Mirror(Arc::new(Mutex::new(state))), base, starts, syncs: 1 };
+        let counted = disk.journal.append(&frame(&Frame::Starts(starts))).and_then(|()| disk.journal.sync());
+        counted.map_err(|e| format!("{place}: {e}"))?;
+        Ok(disk)
+    }
+
+    /// How many times this folder was opened, this time too.
+    pub(crate) fn starts(&self) -> u64 {
+        self.starts
     }
 
     pub(crate) fn base(&self) -> Option<&Base> {
@@ -238,7 +251,8 @@
     /// A configuration begins: durable when it returns.
     pub(crate) fn begin(&mut self, base: Base) -> Result<(), Stop> {
         self.mirror = Mirror::default();
-        let done = self.journal.replace(&[frame(&Frame::Base(base.clone()))]);
+        let done =
+            self.journal.replace(&[frame(&Frame::Starts(self.starts)), frame(&Frame::Base(base.clone()))]);
         done.map_err(|e| Stop(format!("the keeper's journal: {e}")))?;
         self.syncs += 1;
         self.base = Some(base);
@@ -260,7 +274,8 @@
         let stop = |e: std::io::Error| Stop(format!("the keeper's journal: {e}"));
         match (whole, &self.base) {
             (Some(ops), Some(base)) => {
-                let frames = [frame(&Frame::Base(base.clone())), frame(&Frame::Ops(ops))];
+                let starts = frame(&Frame::Starts(self.starts));
+                let frames = [starts, frame(&Frame::Base(base.clone())), frame(&Frame::Ops(ops))];
                 self.journal.replace(&frames).map_err(stop)
             }
             _ => {
--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -15,6 +15,7 @@
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
 use std::collections::{BTreeMap, BTreeSet};
+use std::panic::AssertUnwindSafe;
 
 /// Editors that wait for what becomes of a proposal, most.
 const WAITING: usize = 256;
@@ -76,6 +77,9 @@
     /// Since when the canary part has been at it, as this keeper saw it.
     trying: Option<(Number, Micros)>,
     told: BTreeMap<Gateway, u64>,
+    /// The last message of the consensus's from each keeper, and how many were sent.
+    heard: BTreeMap<Gateway, (u64, u64)>,
+    said: u64,
     lost: BTreeMap<Gateway, u64>,
     wanted: Option<BTreeSet<Gateway>>,
     binds: Option<[BTreeSet<Number>; 2]>,
@@ -155,6 +159,8 @@
             made: Made::new(),
             trying: None,
             told: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            said: 0,
             lost: BTreeMap::new(),
             wanted: None,
             binds: None,
@@ -175,6 +181,8 @@
         self.machine = Some(Machine::read(&base.machine).map_err(|e| format!("the record: {e}"))?);
         self.seat = None;
         (self.made_clear, self.trying, self.binds) = (None, None, None);
+        // A keeper let in with an empty disk counts its starts anew.
+        self.heard.clear();
         self.made.clear();
         let keepers: Vec<Gateway> = base.keepers.iter().copied().collect();
         let Some(pid) = keepers.iter().position(|k| *k == self.me) else { return Ok(()) };
@@ -236,7 +244,21 @@
     pub fn handle(&mut self, now: Micros, from: Gateway, message: Message) -> Result<(), Stop> {
         match message {
             Message::Ask(ask) => self.ask(now, from, &ask),
-            Message::Paxos { config, far, message } => self.paxos(from, config, far, *message),
+            // One that was a keeper, and was away when that ended, too.
+            Message::Paxos { config, .. } if config < self.config => self.install(from),
+            Message::Paxos { .. } if self.config > 0 && !self.peers.contains(&from) => {
+                self.tally.strange += 1
+            }
+            Message::Paxos { config, order, far, message } => {
+                // The library relies on links that neither double nor reorder. What comes late is lost instead, which
+                // it can bear: an old answer to a promise, taken in the next round of the same ballot, would cut
+                // decided entries off the log.
+                let last = self.heard.insert(from, order).filter(|last| *last >= order);
+                match last {
+                    Some(last) => drop(self.heard.insert(from, last)),
+                    None => self.paxos(from, config, far, *message)?,
+                }
+            }
             Message::Behind { config } if config < self.config => self.install(from),
             Message::Install(base) => return self.installed(now, *base),
             Message::Lost { nonce } => {
@@ -297,15 +319,18 @@
         }
     }
 
-    fn paxos(&mut self, from: Gateway, config: u32, far: (u64, u64), message: Paxos<Entry>) {
+    fn paxos(
+        &mut self,
+        from: Gateway,
+        config: u32,
+        far: (u64, u64),
+        message: Paxos<Entry>,
+    ) -> Result<(), Stop> {
         if config > self.config {
             self.out.push((from, Message::Behind { config: self.config }));
-            return;
-        }
-        if config < self.config {
-            return self.install(from);
+            return Ok(());
         }
-        let Some(seat) = &mut self.seat else { return };
+        let Some(seat) = &mut self.seat else { return Ok(()) };
         let (by, to) = match &message {
             Paxos::SequencePaxos(m) => (m.from, m.to),
             Paxos::BLE(m) => (m.from, m.to),
@@ -313,7 +338,11 @@
         // The library indexes by these: a wrong number would be its panic.
         let known = seat.keepers.iter().position(|k| *k == from).map(|k| k as u64 + 1);
         if known == Some(by) && to == seat.omni.get_pid() && by != to {
-            seat.omni.handle_incoming(message);
+            // Where the library finds its own state impossible it panics, also in a release (see the workspace's
+            // profile): nothing of this batch was made durable, and the keeper begins again from its disk.
+            let omni = &mut seat.omni;
+            std::panic::catch_unwind(AssertUnwindSafe(|| omni.handle_incoming(message)))
+                .map_err(|_| Stop("the consensus found its own state impossible".to_owned()))?;
             // What a lost message brought or decided is told by no later one while nothing new is asked for: a keeper
             // that was cut off would go on giving leases by an old record, and an entry that too few have would wait
             // for ever. The library asks where a link was opened anew; here links do not say so, but each message
@@ -332,6 +361,7 @@
         } else {
             self.tally.strange += 1;
         }
+        Ok(())
     }
 
     /// Sends what this configuration began with, not too often.
@@ -398,7 +428,10 @@
                     Paxos::BLE(m) => m.to,
                 };
                 if let Some(to) = (to as usize).checked_sub(1).and_then(|k| seat.keepers.get(k)) {
-                    let message = Message::Paxos { config: self.config, far, message: Box::new(message) };
+                    self.said += 1;
+                    let order = (self.disk.starts(), self.said);
+                    let (config, message) = (self.config, Box::new(message));
+                    let message = Message::Paxos { config, order, far, message };
                     self.out.push((*to, message));
                 }
             }
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -64,6 +64,8 @@
     Paxos {
         /// Which.
         config: u32,
+        /// The sender's start, and its messages since: both only grow.
+        order: (u64, u64),
         /// Entries that the sender has, and those it knows to be decided.
         far: (u64, u64),
         /// The consensus's own.
