--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -49,8 +49,8 @@
     omni: OmniPaxos<Entry, Mirror>,
     applied: usize,
     keepers: Vec<Gateway>,
-    /// The tick since when the leader has known more to be decided.
-    behind_since: Option<u64>,
+    /// Since which tick it and its leader have not known the same, and how far it then knew the log to be decided.
+    waits_since: Option<(u64, u64)>,
 }
 
 /// A keeper.
@@ -196,7 +196,7 @@
             },
         };
         let omni = config.build(self.disk.mirror()).map_err(|e| format!("accord.keepers: {e}"))?;
-        self.seat = Some(Seat { omni, applied: 0, keepers, behind_since: None });
+        self.seat = Some(Seat { omni, applied: 0, keepers, waits_since: None });
         Ok(())
     }
 
@@ -348,14 +348,14 @@
             // for ever. The library asks where a link was opened anew; here links do not say so, but each message
             // says how far its sender is.
             let leader = seat.omni.get_current_leader().map(|(l, _)| l);
-            let (accepted, decided) = seat.far();
-            let behind = far.0 > accepted || far.1 > decided;
-            if leader == Some(by) && !behind {
-                seat.behind_since = None;
-            } else if leader == Some(by)
-                && self.ticks >= *seat.behind_since.get_or_insert(self.ticks) + AGAIN_TICKS
-            {
-                seat.behind_since = None;
+            let mine = seat.far();
+            // A lost word of what was accepted leaves both at the same entry, which is then never decided.
+            let rest = far == mine && mine.0 == mine.1;
+            let (since, at) = *seat.waits_since.get_or_insert((self.ticks, mine.1));
+            if leader == Some(by) && (rest || at != mine.1) {
+                seat.waits_since = None;
+            } else if leader == Some(by) && self.ticks >= since + AGAIN_TICKS {
+                seat.waits_since = None;
                 seat.omni.reconnected(by);
             }
         } else {
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -155,6 +155,8 @@
 struct Net {
     cuts: BTreeSet<(Gateway, Gateway)>,
     weather: Weather,
+    /// When the last message of a link comes: as on a connection, none overtakes another in good weather.
+    last: BTreeMap<(Gateway, Gateway), Micros>,
     /// Messages to a gateway take so much longer.
     slow: BTreeMap<Gateway, Micros>,
     rng: ChaCha8Rng,
@@ -215,6 +217,7 @@
         let net = Net {
             cuts: BTreeSet::new(),
             weather,
+            last: BTreeMap::new(),
             slow: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(rng.random()),
             out: vec![],
@@ -607,7 +610,12 @@
             let twice = self.net.rng.random_range(0..1_000) < weather.doubled;
             for _ in 0..=usize::from(twice) {
                 let slow = self.net.slow.get(&to).copied().unwrap_or(0);
-                let at = self.now + slow + self.net.rng.random_range(weather.delay.0..=weather.delay.1);
+                let mut at = self.now + slow + self.net.rng.random_range(weather.delay.0..=weather.delay.1);
+                if weather.doubled == 0 {
+                    let last = self.net.last.entry((who, to)).or_default();
+                    at = at.max(*last);
+                    *last = at;
+                }
                 self.push(at, Event::Bytes { from: who, to, bytes: bytes.clone() });
             }
         }
