--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -230,7 +230,8 @@
     }
     steps.sort_unstable();
     let mut outcomes = Outcomes::default();
-    let (mut asked, mut published): (Vec<(Gateway, u64)>, Vec<(u64, Micros)>) = (vec![], vec![]);
+    let mut asked: Vec<(Gateway, u64)> = vec![];
+    let mut published: Vec<(u64, Micros)> = vec![];
     for (at, k, over) in steps {
         world.run(at.saturating_sub(world.now()));
         let (_, fault) = &schedule.faults[k];
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -141,6 +141,9 @@
     fails_under: Option<Number>,
 }
 
+/// A tenant, this gateway's part of its sum, and its classes with what a request counts for.
+type Work = (String, u64, Vec<(String, u64)>);
+
 /// What links do at present.
 #[derive(Clone, Debug)]
 pub struct Weather {
@@ -644,7 +647,7 @@
         let (boot, dawdles) = (m.boot, m.dawdles);
         let Some(p) = &mut m.process else { return };
         let (under, allowance) = p.look(now);
-        let parts: Vec<(String, u64, Vec<(String, u64)>)> = allowance
+        let parts: Vec<Work> = allowance
             .tenants
             .iter()
             .map(|(name, part)| {
@@ -734,6 +737,9 @@
         let (latest, _) = self.latest();
         for (who, m) in &self.machines {
             let machine = m.process.as_ref().and_then(|p| p.keeper()).map(|k| (k.seated(), k.machine()));
+            if machine.is_none() && *who <= self.given.keepers {
+                return Err(format!("keeper {who} is down"));
+            }
             if let Some((seated, machine)) = machine {
                 let at = machine.map_or(0, frostgauge_accord::Machine::latest);
                 if at != latest && (seated || *who <= self.given.keepers) {
--- a/crates/storage/tests/journal.rs
+++ b/crates/storage/tests/journal.rs
@@ -100,7 +100,7 @@
     disk.flip(&name, (8 + 20) * 8);
     let refused = Journal::open(disk.clone(), "keeper").expect_err("a damaged frame");
     assert!(refused.contains(&format!("{name} at byte 8")), "{refused}");
-    assert_eq!(disk.list().expect("listed"), [name.clone()]);
+    assert_eq!(disk.list().expect("listed"), std::slice::from_ref(&name));
     disk.flip(&name, 0);
     let refused = Journal::open(disk, "keeper").expect_err("another format");
     assert!(refused.contains("at byte 0"), "{refused}");
