--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -130,7 +130,10 @@
         self.append_entries(vec![entry])
     }
     fn append_entries(&mut self, entries: Vec<Entry>) -> StorageResult<()> {
-        self.look().note(Op::Append(entries));
+        // The library flushes its empty batches now and then: at rest nothing is to be written.
+        if !entries.is_empty() {
+            self.look().note(Op::Append(entries));
+        }
         Ok(())
     }
     fn append_on_prefix(&mut self, from_idx: usize, entries: Vec<Entry>) -> StorageResult<()> {
@@ -145,14 +148,20 @@
         Ok(())
     }
     fn set_decided_idx(&mut self, ld: usize) -> StorageResult<()> {
-        self.look().note(Op::Decided(ld));
+        let mut state = self.look();
+        if state.decided != ld {
+            state.note(Op::Decided(ld));
+        }
         Ok(())
     }
     fn get_decided_idx(&self) -> StorageResult<usize> {
         Ok(self.look().decided)
     }
     fn set_accepted_round(&mut self, na: Ballot) -> StorageResult<()> {
-        self.look().note(Op::Accepted(na));
+        let mut state = self.look();
+        if state.accepted != Some(na) {
+            state.note(Op::Accepted(na));
+        }
         Ok(())
     }
     fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
