--- a/crates/accord/src/follower.rs
+++ b/crates/accord/src/follower.rs
@@ -123,6 +123,11 @@
         self.known.get(&number)
     }
 
+    /// The newest version that it knows.
+    pub fn newest(&self) -> Option<Number> {
+        self.known.keys().next_back().copied()
+    }
+
     /// The version it is to stand on and has not stored yet: to be stored, then told by [`Follower::stored`].
     pub fn to_store(&self) -> Option<&Version> {
         self.stands.filter(|n| self.stored != Some(*n)).and_then(|n| self.known.get(&n))
@@ -143,7 +148,13 @@
         self.next_ask
     }
 
-    fn keepers(&self) -> BTreeSet<Gateway> {
+    /// The version whose ground it falls back on; none: it has never known one.
+    pub fn stands(&self) -> Option<Number> {
+        self.stands
+    }
+
+    /// The keepers, as it last heard of them.
+    pub fn keepers(&self) -> BTreeSet<Gateway> {
         self.configs.values().next_back().cloned().unwrap_or_default()
     }
 
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -68,6 +68,9 @@
     pub address: String,
     /// Whether it takes new work.
     pub state: State,
+    /// Its zone; empty: it is that of the gateway's own list, or the first.
+    #[serde(default)]
+    pub zone: String,
 }
 
 /// Rules and lists.
@@ -115,6 +118,14 @@
         self.plans.get(&tenant.plan).map_or(0, |p| p.ceiling_milli.unwrap_or(p.rate_milli))
     }
 
+    /// A number drawn from the rules themselves, the same wherever they are read: the seed of the lots of a fleet that
+    /// begins with them.
+    pub fn lot(&self) -> u64 {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        let hash = blake3::hash(&bytes);
+        u64::from_be_bytes(hash.as_bytes()[..8].try_into().unwrap_or_default())
+    }
+
     /// All that is wrong with these rules by themselves; empty if they may be given a number.
     pub fn check(&self) -> Vec<Fault> {
         let mut faults = vec![];
--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -105,7 +105,11 @@
         classes: [("read".into(), class)].into(),
         plans: [("plan".into(), Plan { rate_milli, ceiling_milli: None })].into(),
         tenants: [("sul".into(), tenant)].into(),
-        servers: [("s".into(), Server { address: "10.0.0.1:80".into(), state: Ready::Ready })].into(),
+        servers: [(
+            "s".into(),
+            Server { address: "10.0.0.1:80".into(), state: Ready::Ready, zone: String::new() },
+        )]
+        .into(),
         gateways: [1, 2, 3, 4, 5].into(),
     }
 }
--- a/crates/accord/tests/record.rs
+++ b/crates/accord/tests/record.rs
@@ -27,7 +27,7 @@
         let floor = floor.min(rate / gateways.len() as u64);
         let servers = ready.iter().enumerate().filter_map(|(k, r)| {
             let state = if (*r)? { State::Ready } else { State::Draining };
-            Some((format!("s{k}"), Server { address: format!("10.0.0.{}:80", k + 1), state }))
+            Some((format!("s{k}"), Server { address: format!("10.0.0.{}:80", k + 1), state, zone: String::new() }))
         });
         Rules {
             format: FORMAT,
@@ -128,7 +128,11 @@
             Tenant { plan: "plan".into(), classes: ["read".into()].into(), floor_milli: 1_000 },
         )]
         .into(),
-        servers: [("s1".into(), Server { address: "10.0.0.1:80".into(), state: State::Ready })].into(),
+        servers: [(
+            "s1".into(),
+            Server { address: "10.0.0.1:80".into(), state: State::Ready, zone: String::new() },
+        )]
+        .into(),
         gateways: [1, 2, 3].into(),
     }
 }
--- a/crates/counter/src/daemon.rs
+++ b/crates/counter/src/daemon.rs
@@ -107,10 +107,10 @@
     let (close, closing) = Closing::new();
     let (stop_staff, staff_closing) = Closing::new();
     let pages_of = shared.clone();
-    let page = move |method: String, target: String| {
+    let page = move |q: frostgauge_net::Question| {
         let (shared, recorder) = (pages_of.clone(), recorder.clone());
         async move {
-            match (method.as_str(), target.as_str()) {
+            match (q.method.as_str(), q.target.as_str()) {
                 ("GET", "/metrics") => {
                     shared.publish();
                     Page::text(200, recorder.render())
--- a/crates/fleet/src/checks.rs
+++ b/crates/fleet/src/checks.rs
@@ -50,7 +50,8 @@
 }
 
 impl Checks {
-    pub(crate) fn new(within: Micros, rules: Rules) -> Checks {
+    /// A judge of a promise in microseconds, over a fleet that begins with these rules.
+    pub fn new(within: Micros, rules: Rules) -> Checks {
         Checks {
             within,
             rules: BTreeMap::from([(1, rules)]),
@@ -203,7 +204,8 @@
         })
     }
 
-    pub(crate) fn act(&mut self, act: Act, versions: Vec<Version>) {
+    /// A server got a request; `versions`: those that it went under. To be called in the order of time.
+    pub fn act(&mut self, act: Act, versions: Vec<Version>) {
         self.acts += 1;
         *self.by_gateway.entry(act.gateway).or_default() += 1;
         for version in versions {
--- a/crates/fleet/src/confirm.rs
+++ b/crates/fleet/src/confirm.rs
@@ -13,9 +13,12 @@
     ready: bool,
 }
 
-/// What servers last said.
+/// What servers last said, and when they were last asked.
 #[derive(Clone, Debug, Default)]
-pub struct Confirmed(BTreeMap<String, Word>);
+pub struct Confirmed {
+    said: BTreeMap<String, Word>,
+    asked: BTreeMap<String, Micros>,
+}
 
 /// Servers kept at most; those asked longest ago go first.
 const MOST: usize = 4_096;
@@ -23,23 +26,45 @@
 impl Confirmed {
     /// A server, asked at a time, answered.
     pub fn heard(&mut self, server: &str, asked: Micros, ready: bool) {
-        if let Some(word) = self.0.get_mut(server) {
+        if let Some(word) = self.said.get_mut(server) {
             if word.asked <= asked {
                 *word = Word { asked, ready };
             }
             return;
         }
-        if self.0.len() >= MOST {
-            let oldest = self.0.iter().min_by_key(|(_, w)| w.asked).map(|(n, _)| n.clone());
-            oldest.map(|n| self.0.remove(&n));
+        if self.said.len() >= MOST {
+            let oldest = self.said.iter().min_by_key(|(_, w)| w.asked).map(|(n, _)| n.clone());
+            oldest.map(|n| self.said.remove(&n));
+        }
+        self.said.insert(server.to_owned(), Word { asked, ready });
+    }
+
+    /// A server is asked for its word.
+    pub fn asking(&mut self, server: &str, now: Micros) {
+        if self.asked.len() >= MOST && !self.asked.contains_key(server) {
+            self.asked.clear();
         }
-        self.0.insert(server.to_owned(), Word { asked, ready });
+        self.asked.insert(server.to_owned(), now);
+    }
+
+    /// Whether it is time to ask a server, at most `every` so long.
+    pub fn due(&self, server: &str, now: Micros, every: Micros) -> bool {
+        let last = self.asked.get(server).max(self.said.get(server).map(|w| &w.asked));
+        last.is_none_or(|at| now >= at + every)
+    }
+
+    /// Whether a server was asked within `time` and has not said yes since.
+    pub fn silent(&self, server: &str, now: Micros, time: Micros) -> bool {
+        let Some(asked) = self.asked.get(server).filter(|at| now < **at + time) else { return false };
+        // One that was asked a moment ago may still answer.
+        let answers = now < asked + time / 8;
+        !answers && !self.said.get(server).is_some_and(|w| w.ready && w.asked >= *asked)
     }
 
     /// Whether a server may get new work: not if it last said no; where its own word is wanted, only if it said yes
     /// within `confirm`.
     pub fn may(&self, server: &str, now: Micros, confirm: Option<Micros>) -> bool {
-        match (self.0.get(server), confirm) {
+        match (self.said.get(server), confirm) {
             (Some(word), Some(confirm)) => word.ready && now <= word.asked + confirm,
             (Some(word), None) => word.ready,
             (None, confirm) => confirm.is_none(),
--- /dev/null
+++ b/crates/fleet/src/guard.rs
@@ -0,0 +1,290 @@
+//! What stands before each attempt: whether the fleet's rules let it go, now and from here. Free of I/O.
+//!
+//! Whoever runs the follower puts up what it acts under as a [`View`]; the tasks that send requests look at it right
+//! before the bytes go. A lease that has run out meanwhile is over for them too, whatever the follower's task is
+//! doing: then the ground holds.
+
+use crate::confirm::Confirmed;
+use frostgauge_accord::{Allowance, Gateway, Micros, Number, Rules, Under};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A tenant's part is saved up for so long at most.
+const SAVED: Micros = 1_000_000;
+/// Thousandths of a unit, in millionths of a second.
+const SECOND: u128 = 1_000_000;
+
+/// What is allowed, and how to find a server in it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Allows {
+    /// What.
+    pub what: Allowance,
+    /// Names of the servers by where they listen.
+    pub names: BTreeMap<SocketAddr, String>,
+    /// Plans of the tenants, by the newest of the versions.
+    pub plans: BTreeMap<String, String>,
+    /// Zones of the servers, likewise.
+    pub zones: BTreeMap<String, String>,
+}
+
+impl Allows {
+    /// With its servers by address.
+    pub fn new(what: Allowance, rules: Option<&Rules>) -> Allows {
+        let at = what.servers.iter().filter_map(|(n, a)| Some((a.parse().ok()?, n.clone())));
+        let plans = rules.iter().flat_map(|r| r.tenants.iter().map(|(n, t)| (n.clone(), t.plan.clone())));
+        let zones = rules.iter().flat_map(|r| r.servers.iter().map(|(n, s)| (n.clone(), s.zone.clone())));
+        Allows { names: at.collect(), plans: plans.collect(), zones: zones.collect(), what }
+    }
+
+    fn tenant_may(&self, tenant: &str, class: &str) -> bool {
+        self.what.classes.contains_key(class)
+            && self.what.tenants.get(tenant).is_some_and(|p| p.classes.contains(class))
+    }
+}
+
+/// A lease on what some versions allow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leased {
+    /// The versions.
+    pub versions: BTreeSet<Number>,
+    /// Until when.
+    pub until: Micros,
+    /// What they allow.
+    pub allows: Arc<Allows>,
+}
+
+/// What a gateway acts under, as its follower last said.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// The lease, if there is one.
+    pub lease: Option<Leased>,
+    /// The version it stands on.
+    pub ground: Option<Number>,
+    /// What its ground allows.
+    pub ground_allows: Arc<Allows>,
+}
+
+impl View {
+    /// What holds now.
+    pub fn at(&self, now: Micros) -> (Under, &Arc<Allows>) {
+        match self.lease.as_ref().filter(|l| now < l.until) {
+            Some(l) => (Under::Lease(l.versions.clone(), l.until), &l.allows),
+            None => (Under::Ground(self.ground), &self.ground_allows),
+        }
+    }
+
+    fn allows(&self, now: Micros) -> &Arc<Allows> {
+        self.lease.as_ref().filter(|l| now < l.until).map_or(&self.ground_allows, |l| &l.allows)
+    }
+
+    /// Whether it is on ground now.
+    pub fn on_ground(&self, now: Micros) -> bool {
+        self.lease.as_ref().is_none_or(|l| now >= l.until)
+    }
+}
+
+/// Why a request may not go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum No {
+    /// The rules have no such tenant.
+    Tenant,
+    /// The rules do not let this tenant ask for that.
+    Class,
+    /// Without a lease, only floors are served, and this is not on them.
+    Ground,
+    /// This gateway's part of the tenant's sum is used up: when to come back.
+    Part(Micros),
+    /// The server may not get it.
+    Server,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    /// Thousandths of a unit times microseconds.
+    level: u128,
+    at: Micros,
+}
+
+/// Before each attempt of a gateway.
+#[derive(Debug, Default)]
+pub struct Guard {
+    view: Arc<View>,
+    confirm: Micros,
+    confirmed: Confirmed,
+    parts: BTreeMap<String, Bucket>,
+}
+
+impl Guard {
+    /// On no ground yet; a server's own word counts for `confirm`.
+    pub fn new(confirm: Micros) -> Guard {
+        Guard { confirm, ..Guard::default() }
+    }
+
+    /// What the follower says now. To be put up before the follower's own words about it are sent: keepers rely on it.
+    pub fn put(&mut self, view: Arc<View>) {
+        // Tenants that are gone take their part with them; one that comes back finds what it would have saved.
+        let known = |t: &String| {
+            let in_lease = view.lease.as_ref().is_some_and(|l| l.allows.what.tenants.contains_key(t));
+            in_lease || view.ground_allows.what.tenants.contains_key(t)
+        };
+        self.parts.retain(|t, _| known(t));
+        self.view = view;
+    }
+
+    /// What the follower last said.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// The server at an address, asked at a time, answered.
+    pub fn heard(&mut self, address: &str, asked: Micros, ready: bool) {
+        self.confirmed.heard(address, asked, ready);
+    }
+
+    fn wanted(&self, now: Micros) -> Option<Micros> {
+        self.view.allows(now).what.confirmed_only.then_some(self.confirm)
+    }
+
+    /// Servers that may get new work now, by name.
+    pub fn servers(&self, now: Micros) -> impl Iterator<Item = (&str, &str)> {
+        let wanted = self.wanted(now);
+        let all = self.view.allows(now).what.servers.iter().map(|(n, a)| (n.as_str(), a.as_str()));
+        all.filter(move |(_, address)| self.confirmed.may(address, now, wanted))
+    }
+
+    /// Whether a tenant's request in a class may come in, and what of its part is left for it. Nothing is taken: that
+    /// is done by [`Guard::last_look`], for each attempt.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn admit(&mut self, now: Micros, tenant: &str, class: &str) -> Result<(), No> {
+        self.allowed(now, tenant, class)?;
+        let (cost, level, rate) = self.level(now, tenant, class);
+        if level < cost {
+            return Err(No::Part(wait(cost - level, rate)));
+        }
+        Ok(())
+    }
+
+    fn allowed(&self, now: Micros, tenant: &str, class: &str) -> Result<(), No> {
+        let allows = self.view.allows(now);
+        if allows.tenant_may(tenant, class) {
+            return Ok(());
+        }
+        Err(match allows.what.tenants.get(tenant) {
+            _ if self.view.on_ground(now) => No::Ground,
+            None => No::Tenant,
+            Some(_) => No::Class,
+        })
+    }
+
+    /// A request's cost, what is there of the tenant's part, and what comes each microsecond.
+    fn level(&mut self, now: Micros, tenant: &str, class: &str) -> (u128, u128, u128) {
+        let what = &self.view.allows(now).what;
+        let cost = what.classes.get(class).map_or(0, |c| u128::from(c.cost_milli)) * SECOND;
+        let rate = what.tenants.get(tenant).map_or(0, |p| u128::from(p.sum_milli));
+        // A part under one request a second must save up for one, or it would never pass.
+        let most = (rate * u128::from(SAVED)).max(cost);
+        // A part begins with what one request needs, not with a second's worth: a gateway that starts anew again and
+        // again must not bring a new part each time.
+        let bucket = self.parts.entry(tenant.to_owned()).or_insert(Bucket { level: cost, at: now });
+        let gone = u128::from(now.saturating_sub(bucket.at));
+        bucket.level = (bucket.level + gone * rate).min(most);
+        bucket.at = now.max(bucket.at);
+        (cost, bucket.level, rate)
+    }
+
+    /// The last look at an attempt, right before its bytes go: takes its cost off the tenant's part, and tells what
+    /// it goes under.
+    ///
+    /// # Errors
+    /// Why it may not go: it has not run.
+    pub fn last_look(
+        &mut self,
+        now: Micros,
+        tenant: &str,
+        class: &str,
+        server: SocketAddr,
+    ) -> Result<Under, No> {
+        let under = self.look_again(now, tenant, class, server)?;
+        let (cost, level, rate) = self.level(now, tenant, class);
+        if level < cost {
+            return Err(No::Part(wait(cost - level, rate)));
+        }
+        if let Some(bucket) = self.parts.get_mut(tenant) {
+            bucket.level -= cost;
+        }
+        Ok(under)
+    }
+
+    /// The same for an attempt whose part is taken already, when its bytes go a second time: nothing of the first ran.
+    ///
+    /// # Errors
+    /// Why it may not go.
+    pub fn look_again(
+        &self,
+        now: Micros,
+        tenant: &str,
+        class: &str,
+        server: SocketAddr,
+    ) -> Result<Under, No> {
+        self.allowed(now, tenant, class)?;
+        let wanted = self.wanted(now);
+        let (under, allows) = self.view.at(now);
+        let listed = allows.names.get(&server).and_then(|n| allows.what.servers.get(n));
+        if !listed.is_some_and(|address| self.confirmed.may(address, now, wanted)) {
+            return Err(No::Server);
+        }
+        Ok(under)
+    }
+
+    /// Whether an attempt still may go, without a look at the tenant's part.
+    pub(crate) fn still(&self, now: Micros, tenant: &str, class: &str, server: &str) -> Option<Under> {
+        self.allowed(now, tenant, class).ok()?;
+        let wanted = self.wanted(now);
+        let (under, allows) = self.view.at(now);
+        let address = allows.what.servers.get(server)?;
+        self.confirmed.may(address, now, wanted).then_some(under)
+    }
+
+    /// On ground, or shortly before it (`soon`): servers to ask for their own word now. A few, by lot from the
+    /// gateway's number, so that those of a whole fleet on ground do not all ask every server.
+    pub fn to_confirm(&self, now: Micros, soon: Micros, me: Gateway, most: usize) -> Vec<SocketAddr> {
+        if !self.view.on_ground(now + soon) {
+            return vec![];
+        }
+        let servers = self.view.ground_allows.what.servers.values();
+        let mut by_lot: Vec<(u64, &String)> = servers.map(|a| (lot(me, a), a)).collect();
+        by_lot.sort_unstable();
+        // One that was asked and did not say yes gives its place to the next.
+        let silent = |a: &str| self.confirmed.silent(a, now, 4 * self.confirm);
+        let some = by_lot.into_iter().filter(|(_, a)| !silent(a)).take(most);
+        some.filter(|(_, a)| self.confirmed.due(a, now, self.confirm / 3))
+            .filter_map(|(_, a)| a.parse().ok())
+            .collect()
+    }
+
+    /// A server is being asked.
+    pub fn asking(&mut self, address: &str, now: Micros) {
+        self.confirmed.asking(address, now);
+    }
+}
+
+/// Time until so much is there.
+fn wait(lacks: u128, rate: u128) -> Micros {
+    if rate == 0 {
+        return 0;
+    }
+    Micros::try_from(lacks.div_ceil(rate)).unwrap_or(Micros::MAX)
+}
+
+/// A number for a pair, the same in each process.
+fn lot(me: Gateway, address: &str) -> u64 {
+    // FNV-1a, then mixed: spread is all that is asked of it.
+    let hash = address
+        .bytes()
+        .chain(me.to_be_bytes())
+        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,17 +1,22 @@
 //! Keepers and followers as processes that talk by messages, and a fleet of them in memory, in virtual time.
 //!
-//! [`Process`] is what runs; [`World`] plays hundreds of them with faults from a seed; [`Story`] puts a run into
+//! [`Process`] is what runs, in a gateway by [`task`]; [`Guard`] stands before each attempt; [`World`] plays hundreds of them with faults from a seed; [`Story`] puts a run into
 //! words; [`search`] draws faults by the thousand and makes what it finds short.
 
 mod checks;
 mod confirm;
+mod guard;
 mod process;
 pub mod search;
 mod story;
+pub mod task;
+mod trial;
 mod world;
 
 pub use checks::{Act, Checks};
 pub use confirm::Confirmed;
+pub use guard::{Allows, Guard, Leased, No, View};
 pub use process::{Permit, Process, Start, Transport};
 pub use story::{given, Story};
+pub use trial::Trial;
 pub use world::{Given, Plant, Weather, World, SECOND};
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -4,13 +4,13 @@
 //! go out through a [`Transport`], and time is handed in. A keeper whose disk fails is started anew from it, and says
 //! so; the follower serves on.
 
-use crate::confirm::Confirmed;
+use crate::guard::{Allows, Guard, Leased, View};
 use frostgauge_accord::{
-    decode, encode, Allowance, Follower, Gateway, Keeper, Message, Micros, Number, Stop, Tuning, Under,
-    Version,
+    decode, encode, Follower, Gateway, Keeper, Message, Micros, Number, Stop, Tuning, Under, Version,
 };
 use frostgauge_storage::{Journal, Storage};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Carries bytes to other processes: at most once, in any order, or not at all.
 pub trait Transport {
@@ -62,9 +62,10 @@
     follower: Follower,
     keeper: Seat<S>,
     store: Option<Journal<S>>,
-    confirmed: Confirmed,
-    /// The last look, by what it was under.
-    looked: Option<(BTreeSet<Number>, Option<Number>, Allowance)>,
+    guard: Guard,
+    /// What the versions of the last lease, and the last ground, allow: worked out when they change.
+    leased: Option<(BTreeSet<Number>, Arc<Allows>)>,
+    ground: Option<(Option<Number>, Arc<Allows>)>,
     told: Vec<(u64, frostgauge_accord::Outcome)>,
     strange: u64,
     keeper_stops: u64,
@@ -94,8 +95,9 @@
             follower,
             keeper,
             store: Some(journal),
-            confirmed: Confirmed::default(),
-            looked: None,
+            guard: Guard::new(tuning.confirm),
+            leased: None,
+            ground: None,
             told: vec![],
             strange: 0,
             keeper_stops: 0,
@@ -268,8 +270,13 @@
     }
 
     /// A server, asked at a time, said whether it takes new work.
-    pub fn server_said(&mut self, server: &str, asked: Micros, ready: bool) {
-        self.confirmed.heard(server, asked, ready);
+    pub fn server_said(&mut self, now: Micros, server: &str, asked: Micros, ready: bool) {
+        self.look(now);
+        let view = self.guard.view().clone();
+        // One that nothing here names any more may say what it likes.
+        if let Some(address) = view.at(now).1.what.servers.get(server) {
+            self.guard.heard(address, asked, ready);
+        }
     }
 
     /// How it goes under a version.
@@ -277,48 +284,61 @@
         self.follower.report(version, well);
     }
 
-    /// What it may do now.
-    pub fn look(&mut self, now: Micros) -> (Under, &Allowance) {
+    fn allows(&self, under: &Under, newest: Option<Number>) -> Arc<Allows> {
+        let rules = newest.and_then(|n| self.follower.version(n)).map(|v| &v.rules);
+        Arc::new(Allows::new(self.follower.allowance(under), rules))
+    }
+
+    /// What it acts under, for those who look right before they send: see [`Guard::put`].
+    pub fn view(&mut self, now: Micros) -> Arc<View> {
         let under = self.follower.under(now);
-        let key = match &under {
-            Under::Lease(set, _) => (set.clone(), None),
-            Under::Ground(number) => (BTreeSet::new(), *number),
+        let stands = self.follower.stands();
+        let ground = match self.ground.take() {
+            Some(last) if last.0 == stands => last,
+            _ => (stands, self.allows(&Under::Ground(stands), stands)),
         };
-        let looked = match self.looked.take() {
-            Some(last) if (&last.0, &last.1) == (&key.0, &key.1) => last,
-            _ => (key.0, key.1, self.follower.allowance(&under)),
+        let (_, ground_allows) = self.ground.insert(ground);
+        let ground_allows = ground_allows.clone();
+        let lease = if let Under::Lease(versions, until) = under {
+            let leased = match self.leased.take() {
+                Some(last) if last.0 == versions => last,
+                _ => {
+                    let newest = versions.last().copied();
+                    let allows = self.allows(&Under::Lease(versions.clone(), until), newest);
+                    (versions, allows)
+                }
+            };
+            let (versions, allows) = self.leased.insert(leased);
+            Some(Leased { versions: versions.clone(), until, allows: allows.clone() })
+        } else {
+            None
         };
-        let (_, _, allowance) = self.looked.insert(looked);
-        (under, allowance)
+        Arc::new(View { lease, ground: stands, ground_allows })
     }
 
-    /// Servers that may get a tenant's request in a class now, in order of name.
-    pub fn servers(&mut self, now: Micros, tenant: &str, class: &str) -> Vec<String> {
-        let confirm = self.start.tuning.confirm;
-        let (_, allowed) = self.look(now);
-        let may = allowed.classes.contains_key(class)
-            && allowed.tenants.get(tenant).is_some_and(|p| p.classes.contains(class));
-        if !may {
-            return vec![];
-        }
-        let wanted = allowed.confirmed_only.then_some(confirm);
-        let names: Vec<String> = allowed.servers.keys().cloned().collect();
-        names.into_iter().filter(|s| self.confirmed.may(s, now, wanted)).collect()
+    /// What it may do now.
+    pub fn look(&mut self, now: Micros) -> (Under, Arc<Allows>) {
+        let view = self.view(now);
+        self.guard.put(view.clone());
+        let (under, allows) = view.at(now);
+        (under, allows.clone())
     }
 
     /// Decides on a request; none: it may not be sent now, and has not run.
     pub fn permit(&mut self, now: Micros, tenant: &str, class: &str, pick: usize) -> Option<Permit> {
-        let servers = self.servers(now, tenant, class);
-        let server = servers.get(pick.checked_rem(servers.len())?)?.clone();
-        let under = self.look(now).0;
+        let (under, _) = self.look(now);
+        let servers: Vec<&str> = self.guard.servers(now).map(|(name, _)| name).collect();
+        let server = (*servers.get(pick.checked_rem(servers.len())?)?).to_owned();
+        self.guard.still(now, tenant, class, &server)?;
         Some(Permit { under, tenant: tenant.to_owned(), class: class.to_owned(), server })
     }
 
     /// Whether a permit still holds, right before the bytes go: the process may have been stopped since, past the
     /// end of its lease.
     pub fn still(&mut self, now: Micros, permit: &Permit) -> Option<Permit> {
-        let servers = self.servers(now, &permit.tenant, &permit.class);
-        servers.contains(&permit.server).then(|| Permit { under: self.look(now).0, ..permit.clone() })
+        self.look(now);
+        let under = self.guard.still(now, &permit.tenant, &permit.class, &permit.server)?;
+        Some(Permit { under, ..permit.clone() })
     }
 
     /// Keepers as the follower's settings name them.
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -91,7 +91,7 @@
             |plan: &str, floor| Tenant { plan: plan.into(), classes: all.clone(), floor_milli: floor };
         let server = |k: u16| {
             let address = format!("10.0.{}.{}:80", k / 250, k % 250 + 1);
-            (format!("s{k}"), Server { address, state: State::Ready })
+            (format!("s{k}"), Server { address, state: State::Ready, zone: String::new() })
         };
         Rules {
             format: FORMAT,
@@ -593,7 +593,7 @@
             }
             Event::Heard { boot, server, asked, ready, .. } => {
                 if let Some(p) = m.process.as_mut().filter(|_| boot == m.boot) {
-                    p.server_said(&server, asked, ready);
+                    p.server_said(now, &server, asked, ready);
                 }
                 return;
             }
@@ -646,7 +646,8 @@
         let gone = self.now - std::mem::replace(&mut m.last_beat, self.now);
         let (boot, dawdles) = (m.boot, m.dawdles);
         let Some(p) = &mut m.process else { return };
-        let (under, allowance) = p.look(now);
+        let (under, allows) = p.look(now);
+        let allowance = &allows.what;
         let parts: Vec<Work> = allowance
             .tenants
             .iter()
--- a/crates/fleet/tests/accord.rs
+++ b/crates/fleet/tests/accord.rs
@@ -448,7 +448,7 @@
                 let state = State::Draining;
                 rules.servers.get_mut(&old).into_iter().for_each(|s| s.state = state);
                 let address = format!("10.1.0.{}:80", step + 1);
-                let server = frostgauge_accord::Server { address, state: State::Ready };
+                let server = frostgauge_accord::Server { address, state: State::Ready, zone: String::new() };
                 rules.servers.insert(new.clone(), server);
             })
             .after(1.0)
--- a/crates/frostgauged/src/main.rs
+++ b/crates/frostgauged/src/main.rs
@@ -15,6 +15,10 @@
     /// NODE_CONFIG.
     #[arg(long, conflicts_with = "config")]
     platform: bool,
+    /// Write the fleet's first rules, from this Jsonnet file, into the keeper's folder that the settings name, and end:
+    /// once in a fleet's life, the same rules at each keeper.
+    #[arg(long, value_name = "RULES", requires = "config")]
+    found: Option<PathBuf>,
     /// Log as JSON lines.
     #[arg(long)]
     log_json: bool,
@@ -23,8 +27,9 @@
 fn main() -> ExitCode {
     let options = Options::parse();
     frostgauge_gateway::log::init(options.log_json);
-    ExitCode::from(match options.config {
-        Some(config) => frostgauge_gateway::daemon::run(&config),
-        None => frostgauge_node::daemon::run(|name| std::env::var(name).ok()),
+    ExitCode::from(match (options.config, options.found) {
+        (Some(config), Some(rules)) => frostgauge_gateway::daemon::found(&config, &rules),
+        (Some(config), None) => frostgauge_gateway::daemon::run(&config),
+        (None, _) => frostgauge_node::daemon::run(|name| std::env::var(name).ok()),
     })
 }
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,9 +1,11 @@
-//! For staff, on a local address: `/metrics`, `/status`, `/health`.
+//! For staff, on a local address: `/metrics`, `/status`, `/health`, `/accord`.
 
+use crate::agreed::Agreed;
 use crate::oauth::{Handle, Message, News};
+use crate::staff_rules;
 use async_executor::Executor;
 use async_io::Async;
-use frostgauge_net::{pages, Closing, Page};
+use frostgauge_net::{pages, Closing, Page, Question};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::net::TcpListener;
 use std::sync::{Arc, OnceLock};
@@ -24,13 +26,19 @@
 pub async fn serve(
     listener: Async<TcpListener>,
     handle: Handle,
+    agreed: Option<Agreed>,
     metrics: PrometheusHandle,
     closing: Closing,
     executor: Arc<Executor<'static>>,
 ) {
-    pages(listener, closing, executor, move |method, target| {
-        let (handle, metrics) = (handle.clone(), metrics.clone());
-        async move { page(&handle, &metrics, &method, &target).await }
+    pages(listener, closing, executor, move |question: Question| {
+        let (handle, agreed, metrics) = (handle.clone(), agreed.clone(), metrics.clone());
+        async move {
+            match staff_rules::answer(agreed.as_ref(), &question).await {
+                Some(page) => page,
+                None => page(&handle, &metrics, &question.method, &question.target).await,
+            }
+        }
     })
     .await;
 }
--- /dev/null
+++ b/crates/gateway/src/agreed.rs
@@ -0,0 +1,398 @@
+//! The fleet's agreed rules in this gateway: who may come in, which nodes the decisions see, and the last look before
+//! an attempt's bytes go. The rules themselves come from `frostgauge-fleet`, whose task runs beside the engine.
+
+use crate::clock::{Clock, Micros};
+use crate::core::Admission;
+use crate::oauth::{Handle, Message, News};
+use crate::reply::Final;
+use crate::upstream::{self, Ended, NOT_RUN};
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use async_io::Timer;
+use frostgauge::{Entry, State, Status, Why};
+use frostgauge_accord::Under;
+use frostgauge_fleet::task::{self, Mail};
+use frostgauge_fleet::{No, Start, Trial};
+use frostgauge_links::Links;
+use frostgauge_net::{Closing, Hold, Pool};
+use frostgauge_proto::http::Limits;
+use frostgauge_settings::{server_id, Insurer, Loaded};
+use futures_lite::future;
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Messages from other gateways that may wait for the task; while it is full, their links wait.
+const INBOX: usize = 1_024;
+/// The request field that tells a node under what a request goes: `lease 4`, `lease 4 5`, `ground 3`.
+pub const RULES: &str = "frostgauge-rules";
+/// Nodes asked at once for their own word.
+const ASKED_AT_ONCE: usize = 64;
+
+/// The fleet's rules, as the parts of this gateway see them.
+#[derive(Clone, Debug)]
+pub struct Agreed {
+    task: task::Handle,
+    trial: Arc<Mutex<Trial>>,
+    clock: Clock,
+    me: u16,
+    confirm: Micros,
+}
+
+/// What runs the rules, beside the engine.
+pub struct Runs {
+    /// The rules.
+    pub agreed: Agreed,
+    nudged: Receiver<()>,
+    thread: std::thread::JoinHandle<()>,
+    links: Hold,
+}
+
+/// The keys and folders of the settings, for the task.
+///
+/// # Errors
+/// A port, folder or thread that cannot be had, with its name.
+pub fn start(
+    loaded: &Loaded,
+    clock: Clock,
+    executor: &Arc<Executor<'static>>,
+) -> Result<Option<Runs>, String> {
+    let (Some(a), Some(secret)) = (&loaded.file.accord, &loaded.link_secret) else { return Ok(None) };
+    let tuning = a.tuning()?;
+    let number = loaded.file.gateway.number;
+    let me = u16::try_from(number).map_err(|_| "gateway.number: is over 65535".to_owned())?;
+    let address = a.listens(number).ok_or("accord.links: does not name this gateway")?;
+    let listener = frostgauge_net::listen(address).map_err(|e| format!("accord.links {address}: {e}"))?;
+    let (links, closing) = Closing::new();
+    let (bytes, inbox) = async_channel::bounded(INBOX);
+    let lease = Duration::from_micros(tuning.lease);
+    let config = frostgauge_links::Config {
+        me,
+        addresses: a.links.clone(),
+        key: frostgauge_links::Key::derive(secret.expose()),
+        source: loaded.file.gateway.source,
+        // What is not there within a lease comes too late for one.
+        stall: lease.max(Duration::from_millis(500)),
+        pause: (lease / 4).max(Duration::from_millis(100)),
+    };
+    let opened = Links::open(config, listener, bytes, closing, executor.clone());
+    let (nudge, nudged) = async_channel::bounded(1);
+    let start = Start { me, keepers: a.keepers.clone(), tuning, draw: 0 };
+    let config = task::Config {
+        start,
+        folder: loaded.folder.join(&a.folder),
+        clock: clock.began(),
+        inbox,
+        links: opened,
+        // One that waits already tells as much.
+        changed: Box::new(move || {
+            let _ = nudge.try_send(());
+        }),
+    };
+    let (task, thread) = task::start(config)?;
+    let trial = Arc::new(Mutex::new(Trial::new(tuning.canary / 4)));
+    let agreed = Agreed { task, trial, clock, me, confirm: tuning.confirm };
+    Ok(Some(Runs { agreed, nudged, thread, links }))
+}
+
+impl Runs {
+    /// Tells the engine when the rules change, asks nodes for their word on ground, and tells the keepers how it goes.
+    pub fn keep(&self, handle: &Handle, executor: &Arc<Executor<'static>>) {
+        let keep = Keep {
+            agreed: self.agreed.clone(),
+            handle: handle.clone(),
+            nudged: self.nudged.clone(),
+            executor: executor.clone(),
+            pool: Arc::new(Pool::new(1, Duration::from_secs(5)).from(handle.loaded().file.gateway.source)),
+            told: None,
+            reported: None,
+        };
+        executor.spawn(keep.run()).detach();
+    }
+
+    /// Ends the task and its links.
+    pub fn end(self) {
+        drop(self.links);
+        self.agreed.task.say(Mail::Stop);
+        drop((self.agreed, self.nudged));
+        let _ = self.thread.join();
+    }
+}
+
+impl Agreed {
+    /// The task, for staff.
+    pub fn task(&self) -> &task::Handle {
+        &self.task
+    }
+
+    /// The nodes as the decisions are to see them: those that the rules and, on ground, their own word let have new
+    /// work are ready; others of the file get nothing new.
+    pub fn entries(&self, loaded: &Loaded) -> Vec<(SocketAddr, Entry)> {
+        let (open, zones) = self.open();
+        let mut entries: Vec<(SocketAddr, Entry)> = vec![];
+        for node in &loaded.nodes {
+            let mut entry = node.entry.clone();
+            if !open.contains(&node.address) {
+                entry.state = State::Draining;
+            }
+            entries.push((node.address, entry));
+        }
+        let named: BTreeSet<SocketAddr> = loaded.nodes.iter().map(|n| n.address).collect();
+        for address in open.difference(&named) {
+            let zone = zones.get(address).and_then(|z| loaded.file.zones.iter().position(|k| k == z));
+            let entry = Entry {
+                server: server_id(*address),
+                state: State::Ready,
+                ready_at: 0,
+                size: 1.0,
+                zone: zone.unwrap_or(0) as u32,
+                cell: 0,
+            };
+            entries.push((*address, entry));
+        }
+        entries
+    }
+
+    /// Nodes that may get new work now, and zones by the record.
+    fn open(&self) -> (BTreeSet<SocketAddr>, BTreeMap<SocketAddr, String>) {
+        let now = self.clock.now();
+        let guard = self.task.guard();
+        let zones = &guard.view().at(now).1.zones;
+        let open: Vec<(&str, SocketAddr)> =
+            guard.servers(now).filter_map(|(name, a)| Some((name, a.parse().ok()?))).collect();
+        let zone = |name: &str| zones.get(name).cloned().unwrap_or_default();
+        (open.iter().map(|(_, a)| *a).collect(), open.iter().map(|(n, a)| (*a, zone(n))).collect())
+    }
+
+    /// The last look before an attempt's bytes go to a node.
+    pub fn look(&self, tenant: &str, class: &str, node: SocketAddr) -> Look {
+        let (tenant, class) = (tenant.to_owned(), class.to_owned());
+        Look { agreed: self.clone(), tenant, class, node, gone: None }
+    }
+
+    fn trial(&self, run: impl FnOnce(&mut Trial)) {
+        run(&mut self.trial.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+/// A request's tenant and class against the rules, before it goes to the library.
+pub struct Gatekeeper {
+    agreed: Agreed,
+    classes: Vec<String>,
+    plans: Vec<String>,
+    gateways: usize,
+    retry_most: Micros,
+}
+
+impl Gatekeeper {
+    /// For these settings.
+    pub fn new(agreed: Agreed, loaded: &Loaded) -> Gatekeeper {
+        Gatekeeper {
+            agreed,
+            classes: loaded.classes.clone(),
+            plans: loaded.plans.clone(),
+            gateways: loaded.file.fleet.gateways,
+            retry_most: loaded.file.limits.retry_after_ms * 1_000,
+        }
+    }
+}
+
+impl Admission for Gatekeeper {
+    fn admit(
+        &mut self,
+        now: Micros,
+        subject: &str,
+        class: usize,
+        known: Option<Insurer>,
+    ) -> Result<Insurer, Final> {
+        let mut guard = self.agreed.task.guard();
+        let class = self.classes.get(class).map_or("", String::as_str);
+        if let Err(no) = guard.admit(now, subject, class) {
+            metrics::counter!("frostgauge_rules_refused", "why" => word(no)).increment(1);
+            return Err(match no {
+                No::Tenant => Final::UnknownInsurer,
+                No::Class => Final::NotAllowed,
+                // A lease may be back with the next answers; half a confirmation is soon enough to ask again.
+                No::Ground | No::Server => {
+                    Final::OnGround { retry_after: (self.agreed.confirm / 2).min(self.retry_most) }
+                }
+                No::Part(wait) => {
+                    Final::Refused { why: Why::Ceiling, retry_after: wait.min(self.retry_most) }
+                }
+            });
+        }
+        // One that came with a version is known by its plan alone.
+        let view = guard.view().clone();
+        let plan = view.at(now).1.plans.get(subject);
+        let plan = plan.and_then(|plan| self.plans.iter().position(|p| p == plan));
+        let here = Insurer {
+            id: frostgauge_settings::customer_id(subject),
+            plan: 0,
+            first: 0,
+            spread: self.gateways,
+        };
+        match (known, plan) {
+            (Some(known), Some(plan)) => Ok(Insurer { plan, ..known }),
+            (Some(known), None) => Ok(known),
+            (None, Some(plan)) => Ok(Insurer { plan, ..here }),
+            (None, None) => Err(Final::UnknownInsurer),
+        }
+    }
+}
+
+fn word(no: No) -> &'static str {
+    match no {
+        No::Tenant => "tenant",
+        No::Class => "class",
+        No::Ground => "ground",
+        No::Part(_) => "part",
+        No::Server => "server",
+    }
+}
+
+/// The last look before one attempt.
+#[derive(Debug)]
+pub struct Look {
+    agreed: Agreed,
+    tenant: String,
+    class: String,
+    node: SocketAddr,
+    /// When it was let go: its part is taken once, also if a first connection turns out to be closed.
+    gone: Option<Micros>,
+}
+
+impl Look {
+    /// The request with what it goes under; none: it may not go, and has not run.
+    pub fn stamp<'a>(&mut self, request: &[u8]) -> Option<Cow<'a, [u8]>> {
+        let now = self.agreed.clock.now();
+        let mut guard = self.agreed.task.guard();
+        let looked = match self.gone {
+            None => guard.last_look(now, &self.tenant, &self.class, self.node),
+            Some(_) => guard.look_again(now, &self.tenant, &self.class, self.node),
+        };
+        drop(guard);
+        let under = match looked {
+            Ok(under) => under,
+            Err(no) => {
+                metrics::counter!("frostgauge_rules_turned_back", "why" => word(no)).increment(1);
+                return None;
+            }
+        };
+        self.gone = Some(now);
+        let line = format!("{RULES}: {}\r\n", stamp(&under));
+        // Right after the request line.
+        let at = request.windows(2).position(|w| w == b"\r\n")? + 2;
+        Some(Cow::Owned([&request[..at], line.as_bytes(), &request[at..]].concat()))
+    }
+
+    /// How it ended.
+    pub fn ended(&self, ended: &Ended) {
+        let Some(asked) = self.gone else { return };
+        if let Some(response) = &ended.response {
+            let ready = response.head.one(NOT_RUN) != Some("draining");
+            self.agreed.task.guard().heard(&self.node.to_string(), asked, ready);
+        }
+        let failed = matches!(ended.status, Status::Error | Status::Reset | Status::Timeout);
+        if failed || ended.status == Status::Ok {
+            self.agreed.trial(|t| t.ended(failed));
+        }
+    }
+}
+
+/// What a request goes under, in a word.
+pub fn stamp(under: &Under) -> String {
+    match under {
+        Under::Lease(set, _) => {
+            let numbers: Vec<String> = set.iter().map(ToString::to_string).collect();
+            format!("lease {}", numbers.join(" "))
+        }
+        Under::Ground(number) => format!("ground {}", number.unwrap_or(0)),
+    }
+}
+
+/// The task beside the engine.
+struct Keep {
+    agreed: Agreed,
+    handle: Handle,
+    nudged: Receiver<()>,
+    executor: Arc<Executor<'static>>,
+    pool: Arc<Pool>,
+    told: Option<BTreeSet<SocketAddr>>,
+    reported: Option<(u64, bool)>,
+}
+
+impl Keep {
+    async fn run(mut self) {
+        let every = Duration::from_micros(self.agreed.confirm / 4).max(Duration::from_millis(10));
+        let (ask, answered) = async_channel::bounded(ASKED_AT_ONCE);
+        loop {
+            let timer = async {
+                Timer::after(every).await;
+                true
+            };
+            let nudge = async { self.nudged.recv().await.is_ok() };
+            let answer = async { answered.recv().await.is_ok() };
+            if !future::or(nudge, future::or(answer, timer)).await {
+                return;
+            }
+            self.confirm(&ask);
+            let (open, _) = self.agreed.open();
+            if self.told.as_ref() != Some(&open) && self.handle.try_send(Message::News(News::Agreed)) {
+                self.told = Some(open);
+            }
+            self.report();
+        }
+    }
+
+    /// Asks some nodes for their own word, where only that counts.
+    fn confirm(&self, answered: &Sender<()>) {
+        let (agreed, loaded) = (&self.agreed, self.handle.loaded());
+        let Some(a) = &loaded.file.accord else { return };
+        let now = agreed.clock.now();
+        let mut guard = agreed.task.guard();
+        let due = guard.to_confirm(now, agreed.confirm / 2, agreed.me, a.confirm_nodes);
+        for node in due {
+            let address = node.to_string();
+            guard.asking(&address, now);
+            metrics::counter!("frostgauge_confirmations").increment(1);
+            let (agreed, answered, pool) = (agreed.clone(), answered.clone(), self.pool.clone());
+            let (path, loaded) = (a.confirm_path.clone(), loaded.clone());
+            let work = async move {
+                let l = &loaded.file.limits;
+                let limits =
+                    Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
+                let patience = Duration::from_millis(l.connect_ms);
+                let ended = upstream::probe(&pool, node, &path, &limits, patience).await;
+                if let Some(response) = ended.response {
+                    let ready = response.head.one(NOT_RUN) != Some("draining");
+                    agreed.task.guard().heard(&address, now, ready);
+                    let _ = answered.try_send(());
+                }
+            };
+            self.executor.spawn(work).detach();
+        }
+    }
+
+    fn report(&mut self) {
+        let now = self.agreed.clock.now();
+        let alone = {
+            let guard = self.agreed.task.guard();
+            match guard.view().at(now).0 {
+                Under::Lease(set, _) if set.len() == 1 => set.first().copied(),
+                _ => None,
+            }
+        };
+        let mut verdict = None;
+        self.agreed.trial(|t| {
+            t.under(now, alone);
+            verdict = t.verdict(now);
+        });
+        if let Some((version, well)) = verdict.filter(|v| self.reported != Some(*v)) {
+            if self.agreed.task.say(Mail::Report(version, well)) {
+                self.reported = verdict;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -26,6 +26,11 @@
         self.base + micros(self.start.elapsed())
     }
 
+    /// A moment, and what the clock showed then: for a task that goes by the same time without this type.
+    pub fn began(&self) -> (Instant, Micros) {
+        (self.start, self.base)
+    }
+
     /// The moment of a time, for timers of the reactor.
     pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.base))
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,204 +8,18 @@
 //! answered 401; what was sent runs on and its answer is delivered, since calling it off would not undo it.
 
 use crate::clock::Micros;
+pub use crate::event::{Ask, Command, Input};
 use crate::reply::{Failed, Final};
 use crate::timers::Timers;
 use crate::zone_gate::ZoneGate;
-use frostgauge::{
-    Action, CounterId, Entry, Event, Gateway, ListKind, Load, RequestId, ServerId, Status, Why,
-};
-use frostgauge_identity::{Answer, Grant, Identity, Outcome, Step, TokenName};
+use frostgauge::{Action, Entry, Event, Gateway, ListKind, RequestId, ServerId, Status, Why};
+use frostgauge_identity::{Grant, Identity, Outcome, Step, TokenName};
 use frostgauge_proto::bearer::Denied;
 use frostgauge_settings::{Insurer, Loaded};
-use frostgauge_zones::{Change, Zones};
+use frostgauge_zones::Zones;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A call, as the core knows it.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Its number; never used twice.
-    pub ticket: u64,
-    /// Its token's name.
-    pub token: TokenName,
-    /// Index of its class.
-    pub class: usize,
-    /// Units it draws.
-    pub units: f64,
-    /// The scope its token must have, or nothing.
-    pub scope: Arc<str>,
-    /// When it was whole.
-    pub arrived: Micros,
-    /// How long its client waits, counted from then.
-    pub patience: Micros,
-    /// Its client marked it as a repeat.
-    pub repeat: bool,
-}
-
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A request is whole.
-    Call(Ask),
-    /// A request is whole, and its caller is known with it: no token is judged.
-    Known {
-        /// The request.
-        ask: Ask,
-        /// Whose it is.
-        caller: Insurer,
-    },
-    /// Its client left.
-    Left {
-        /// Which.
-        ticket: u64,
-    },
-    /// A question about a token is answered, or failed.
-    Introspected {
-        /// Which.
-        flight: u64,
-        /// The answer.
-        answer: Option<Answer>,
-    },
-    /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        ticket: u64,
-        /// Its attempt, from 0.
-        attempt: u32,
-        /// Where it went.
-        server: ServerId,
-        /// How it ended.
-        status: Status,
-        /// Time since it was sent.
-        took: Micros,
-        /// The insurer's use of its rate, as the answer told it.
-        used: Option<f64>,
-        /// The load that the answer told of.
-        load: Option<Load>,
-    },
-    /// What a probe found.
-    Probed {
-        /// The node.
-        server: ServerId,
-        /// How it ended.
-        status: Status,
-        /// The load it told of.
-        load: Option<Load>,
-    },
-    /// What a check of a node in a dark zone found.
-    Checked {
-        /// The node.
-        server: ServerId,
-        /// How it ended.
-        status: Status,
-        /// Time since it was sent.
-        took: Micros,
-    },
-    /// What a call of the counter came to.
-    Counted {
-        /// The number's name.
-        counter: CounterId,
-        /// The total, or none.
-        total: Option<f64>,
-        /// It may have been added.
-        unsure: bool,
-        /// Time since the call.
-        took: Micros,
-    },
-    /// Staff take a zone out of use, or give it back.
-    Drain {
-        /// Its index.
-        zone: u32,
-        /// Out of use.
-        drained: bool,
-    },
-    /// A message of another gateway.
-    Peer {
-        /// Its number.
-        from: usize,
-        /// The message.
-        data: Vec<u8>,
-    },
-}
-
-/// Something to do, in the order given.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Ask the introspection server, and hand in `Introspected` exactly once.
-    Introspect {
-        /// The question's number.
-        flight: u64,
-        /// The token's name.
-        token: TokenName,
-        /// How long to wait.
-        timeout: Micros,
-    },
-    /// Start an attempt, and hand in `AttemptEnded` exactly once.
-    Send {
-        /// The request.
-        ticket: u64,
-        /// Its attempt.
-        attempt: u32,
-        /// Where to.
-        server: ServerId,
-        /// Its time-out.
-        timeout: Micros,
-        /// Whose request it is.
-        grant: Arc<Grant>,
-    },
-    /// Stop waiting for an attempt; it still ends.
-    Cancel {
-        /// The request.
-        ticket: u64,
-        /// Its attempt.
-        attempt: u32,
-    },
-    /// Final answer: what this attempt brought.
-    Deliver {
-        /// The request.
-        ticket: u64,
-        /// Its attempt.
-        attempt: u32,
-    },
-    /// Final answer: the gateway's own.
-    Answer {
-        /// The request.
-        ticket: u64,
-        /// What to say.
-        answer: Final,
-    },
-    /// Probe a node.
-    Probe {
-        /// Which.
-        server: ServerId,
-    },
-    /// See whether a node of a dark zone answers, and hand in `Checked`.
-    Check {
-        /// Which.
-        server: ServerId,
-    },
-    /// A zone changed, for the log.
-    Zone(Change),
-    /// Send a message to another gateway.
-    Tell {
-        /// Its number.
-        to: usize,
-        /// The message.
-        data: Vec<u8>,
-    },
-    /// Add to a number of the counter, and hand in `Counted` exactly once.
-    Count {
-        /// Its name.
-        counter: CounterId,
-        /// Units.
-        amount: f64,
-        /// How long a new name lives.
-        ttl: Micros,
-    },
-    /// A line for the log.
-    Log(String),
-}
-
 /// Where an open request stands.
 #[derive(Debug)]
 enum Stage {
@@ -223,6 +37,21 @@
     last: Option<Status>,
 }
 
+/// Rules that stand before the library, beside the settings: who may come in with what.
+pub trait Admission: Send {
+    /// Whether a caller's request in a class may come in; `known`: the caller, if the settings name it.
+    ///
+    /// # Errors
+    /// The final answer.
+    fn admit(
+        &mut self,
+        now: Micros,
+        subject: &str,
+        class: usize,
+        known: Option<Insurer>,
+    ) -> Result<Insurer, Final>;
+}
+
 /// Counts for the operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -247,6 +76,7 @@
     timers: Timers,
     open: BTreeMap<u64, Open>,
     insurers: Arc<BTreeMap<String, Insurer>>,
+    admission: Option<Box<dyn Admission>>,
     /// The grant of those who need none.
     nobody: Arc<Grant>,
     counts: Counts,
@@ -319,6 +149,7 @@
             timers: Timers::default(),
             open: BTreeMap::new(),
             insurers: Arc::default(),
+            admission: None,
             nobody: Arc::default(),
             counts: Counts::default(),
             margin: 0,
@@ -328,6 +159,11 @@
         }
     }
 
+    /// Has further rules stand before the library.
+    pub fn admit_by(&mut self, admission: Box<dyn Admission>) {
+        self.admission = Some(admission);
+    }
+
     /// Takes settings that [`Loaded::needs_restart`] lets in while it runs.
     pub fn configure(&mut self, now: Micros, loaded: &Loaded, out: &mut Vec<Command>) {
         self.insurers = Arc::new(loaded.insurers.clone());
@@ -495,8 +331,10 @@
             return;
         }
         match answer {
-            Final::Denied(_) | Final::UnknownInsurer => self.counts.denied += 1,
-            Final::NoVerdict { .. } | Final::Refused { .. } => self.counts.refused += 1,
+            Final::Denied(_) | Final::UnknownInsurer | Final::NotAllowed => self.counts.denied += 1,
+            Final::NoVerdict { .. } | Final::OnGround { .. } | Final::Refused { .. } => {
+                self.counts.refused += 1;
+            }
             Final::Failed(_) => self.counts.failed += 1,
         }
         out.push(Command::Answer { ticket, answer });
@@ -529,10 +367,15 @@
         if !ask.scope.is_empty() && !grant.scopes.iter().any(|s| **s == *ask.scope) {
             return self.answer(ticket, Final::Denied(Denied::Scope), out);
         }
-        let Some(insurer) = self.insurers.get(&grant.subject).copied() else {
-            return self.answer(ticket, Final::UnknownInsurer, out);
+        let known = self.insurers.get(&grant.subject).copied();
+        let admitted = match &mut self.admission {
+            Some(admission) => admission.admit(now, &grant.subject, ask.class, known),
+            None => known.ok_or(Final::UnknownInsurer),
         };
-        self.submit(now, ticket, grant, insurer, out);
+        match admitted {
+            Ok(insurer) => self.submit(now, ticket, grant, insurer, out),
+            Err(answer) => self.answer(ticket, answer, out),
+        }
     }
 
     /// A request whose caller is known goes to the library.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: sockets opened, signals heeded, taken requests answered before the end.
 
 use crate::admin;
+use crate::agreed;
 use crate::clock::Clock;
 use crate::front::http;
 use crate::oauth::{self, Handle, Message, News};
@@ -55,6 +56,30 @@
     }
 }
 
+/// Writes what a fleet begins with into this keeper's folder, from a file of rules. Returns the exit code; errors are
+/// told on standard error.
+pub fn found(config: &Path, rules: &Path) -> u8 {
+    let found = || {
+        let loaded = load(config).map_err(|faults| format!("{}: not usable:\n{faults}", config.display()))?;
+        let rules = frostgauge_settings::load_rules(rules)
+            .map_err(|faults| format!("{}: not usable:\n{faults}", rules.display()))?;
+        let Some(a) = &loaded.file.accord else { return Err("accord: is missing".to_owned()) };
+        let me = loaded.file.gateway.number;
+        if !a.keepers.iter().any(|k| usize::from(*k) == me) {
+            return Err(format!("accord.keepers: gateway {me} is not among them"));
+        }
+        let folder = loaded.folder.join(&a.folder);
+        frostgauge_fleet::task::found(&folder, &a.keepers, rules, a.canary_percent)
+    };
+    match found() {
+        Ok(()) => exit::DONE,
+        Err(reason) => {
+            eprintln!("frostgauged: {reason}");
+            exit::START
+        }
+    }
+}
+
 fn start(loaded: Loaded, config: &Path) -> Result<u8, String> {
     let clock = Clock::default();
     // Before anything listens: guards against a reload or an end asked for while it starts, which would
@@ -82,8 +107,14 @@
         .map_err(|e| format!("cannot start a thread: {e}"))?;
     let (talker, listener) = peers.map_or((None, None), |(p, l)| (Some(p), Some(l)));
     let connections = loaded.file.limits.connections;
+    let rules = agreed::start(&loaded, clock, &executor)?;
+    let agreed = rules.as_ref().map(|r| r.agreed.clone());
     let (engine, handle) =
-        oauth::engine(loaded, rand::random(), clock, executor.clone(), talker).map_err(|e| e.to_string())?;
+        oauth::engine(loaded, rand::random(), clock, executor.clone(), talker, agreed.clone())
+            .map_err(|e| e.to_string())?;
+    if let Some(rules) = &rules {
+        rules.keep(&handle, &executor);
+    }
     let decisions = std::thread::Builder::new()
         .name("decisions".into())
         .spawn(move || future::block_on(engine.run()))
@@ -93,7 +124,9 @@
     }
     let (close, closing) = Closing::new();
     let (stop_staff, staff_closing) = Closing::new();
-    executor.spawn(admin::serve(staff, handle.clone(), metrics, staff_closing, executor.clone())).detach();
+    executor
+        .spawn(admin::serve(staff, handle.clone(), agreed, metrics, staff_closing, executor.clone()))
+        .detach();
     let places = Places::new(connections);
     let front = {
         let (handle, closing, places, executor) =
@@ -116,8 +149,12 @@
         handle.send(Message::Stop).await;
         code
     });
-    drop((stop_staff, stop_threads));
+    drop(stop_staff);
     let _ = decisions.join();
+    if let Some(rules) = rules {
+        rules.end();
+    }
+    drop(stop_threads);
     for worker in workers {
         let _ = worker.join();
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -380,8 +380,8 @@
 
 fn kind(answer: &Final) -> &'static str {
     match answer {
-        Final::Denied(_) | Final::UnknownInsurer => "denied",
-        Final::NoVerdict { .. } | Final::Refused { .. } => "refused",
+        Final::Denied(_) | Final::UnknownInsurer | Final::NotAllowed => "denied",
+        Final::NoVerdict { .. } | Final::OnGround { .. } | Final::Refused { .. } => "refused",
         Final::Failed(_) => "failed",
     }
 }
--- a/crates/gateway/src/oauth.rs
+++ b/crates/gateway/src/oauth.rs
@@ -1,10 +1,11 @@
 //! The outside of a gateway that knows its callers by OAuth 2 tokens and its nodes by a settings file.
 
+use crate::agreed::{Agreed, Gatekeeper};
 use crate::clock::{Clock, Micros};
 use crate::core::{Ask, Command, Core, Input};
 use crate::engine::{self, Attempt, Inside, Outside};
 use crate::peers::Peers;
-use crate::upstream::{self, Ended, Forward};
+use crate::upstream::{self, Ended, Forward, Outgoing};
 use async_channel::Sender;
 use async_executor::{Executor, Task};
 use frostgauge::{CounterId, ServerId, Status};
@@ -73,6 +74,8 @@
     },
     /// A call of the counter ended.
     Counted(Answered),
+    /// The fleet's agreed rules let other nodes have new work than before.
+    Agreed,
     /// New settings, already checked against the old ones.
     Reload(Arc<Loaded>),
     /// Someone wants to know how things stand.
@@ -109,6 +112,7 @@
     out: BTreeMap<ServerId, usize>,
     peers: Option<Peers>,
     counter: Option<Client>,
+    agreed: Option<Agreed>,
     tokens: BTreeMap<TokenName, Token>,
     key: [u8; 32],
     started: Micros,
@@ -126,9 +130,16 @@
     clock: Clock,
     executor: Arc<Executor<'static>>,
     peers: Option<Peers>,
+    agreed: Option<Agreed>,
 ) -> Result<(Engine, Handle), frostgauge::SettingsError> {
     let now = clock.now();
-    let core = Core::new(&loaded, seed, now)?;
+    let mut core = Core::new(&loaded, seed, now)?;
+    if let Some(agreed) = &agreed {
+        core.admit_by(Box::new(Gatekeeper::new(agreed.clone(), &loaded)));
+        // Until the rules are known, no node may get anything.
+        let entries = agreed.entries(&loaded).into_iter().map(|(_, e)| e).collect();
+        core.servers(now, entries, &mut Vec::new());
+    }
     let l = &loaded.file.limits;
     let pool =
         Arc::new(Pool::new(l.pool, Duration::from_millis(l.pool_idle_ms)).from(loaded.file.gateway.source));
@@ -141,6 +152,7 @@
         out: BTreeMap::new(),
         peers,
         counter: None,
+        agreed,
         tokens: BTreeMap::new(),
         key: rand::random(),
         started: now,
@@ -200,11 +212,16 @@
                     Ok(mut place) => *place = loaded.clone(),
                     Err(poisoned) => *poisoned.into_inner() = loaded.clone(),
                 }
-                self.learn_addresses();
                 inside.core.configure(now, &loaded, out);
+                self.list(now, inside.core, out);
+                self.learn_addresses();
                 self.reloads += 1;
                 tracing::info!(nodes = loaded.nodes.len(), insurers = loaded.insurers.len(), "reloaded");
             }
+            News::Agreed => {
+                self.list(now, inside.core, out);
+                self.learn_addresses();
+            }
             News::Status(reply) => drop(reply.try_send(self.status(now, &inside))),
         }
     }
@@ -227,13 +244,16 @@
         let bytes = call.forward.bytes(to, &grant.subject, &number, attempt, rand::random());
         let to_head = call.forward.head.method() == "HEAD";
         let pool = self.pool.clone();
+        let class = loaded.routes.get(call.caller.route).and_then(|r| loaded.classes.get(r.class));
+        let look = self.agreed.as_ref().zip(class).map(|(a, class)| a.look(&grant.subject, class, to));
+        let request = Outgoing { bytes, to_head, look };
         self.executor.spawn(async move {
             let l = &loaded.file.limits;
             let limits =
                 Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: l.answer_bytes };
             let connect = Duration::from_millis(l.connect_ms);
             let deadline = instant + Duration::from_micros(timeout);
-            let ended = upstream::attempt(&pool, to, &bytes, to_head, &limits, connect, deadline).await;
+            let ended = upstream::attempt(&pool, to, request, &limits, connect, deadline).await;
             let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
         })
     }
@@ -327,6 +347,14 @@
         Some(Client::start(&self.executor, config, Box::new(deliver)))
     }
 
+    /// Hands the nodes to the decisions as the fleet's agreed rules have them.
+    fn list(&self, now: Micros, core: &mut Core, out: &mut Vec<Command>) {
+        if let Some(agreed) = &self.agreed {
+            let entries = agreed.entries(&self.handle.loaded());
+            core.servers(now, entries.into_iter().map(|(_, e)| e).collect(), out);
+        }
+    }
+
     fn learn_addresses(&mut self) {
         let loaded = self.handle.loaded();
         // Addresses of nodes gone stay known while attempts are out, and no longer: nodes come and go for years.
@@ -334,6 +362,12 @@
         self.addresses.retain(|server, _| out.contains_key(server));
         self.addresses.extend(loaded.nodes.iter().map(|n| (n.entry.server, n.address)));
         let mut wanted: Vec<SocketAddr> = loaded.nodes.iter().map(|n| n.address).collect();
+        if let Some(agreed) = &self.agreed {
+            for (address, entry) in agreed.entries(&loaded) {
+                self.addresses.insert(entry.server, address);
+                wanted.push(address);
+            }
+        }
         wanted.push(loaded.introspection().address);
         self.pool.keep(&wanted);
     }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -23,6 +23,13 @@
     Denied(Denied),
     /// The token is good, but names no insurer of the settings.
     UnknownInsurer,
+    /// The fleet's agreed rules do not let this insurer ask for that.
+    NotAllowed,
+    /// The fleet's agreed rules cannot be confirmed now: only floors are served, and this is not on them.
+    OnGround {
+        /// When to come back.
+        retry_after: Micros,
+    },
     /// There is no verdict on the token.
     NoVerdict {
         /// When to come back.
@@ -86,6 +93,8 @@
             Final::Denied(Denied::Invalid) => "token-invalid",
             Final::Denied(Denied::Scope) => "token-scope",
             Final::UnknownInsurer => "unknown-insurer",
+            Final::NotAllowed => "not-allowed",
+            Final::OnGround { .. } => "on-ground",
             Final::NoVerdict { .. } => "no-verdict",
             Final::Refused { why, .. } => refusal(*why).0,
             Final::Failed(Failed::Node) => "node-error",
@@ -97,7 +106,9 @@
     /// How long the client should stay away; 0: no advice.
     pub fn retry_after(&self) -> Micros {
         match self {
-            Final::NoVerdict { retry_after } | Final::Refused { retry_after, .. } => *retry_after,
+            Final::NoVerdict { retry_after }
+            | Final::OnGround { retry_after }
+            | Final::Refused { retry_after, .. } => *retry_after,
             _ => 0,
         }
     }
@@ -113,6 +124,15 @@
                 own
             }
             Final::UnknownInsurer => Own::problem(403, kind, "The token's holder is not an insurer here", ""),
+            Final::NotAllowed => {
+                Own::problem(403, kind, "The fleet's rules do not let this insurer ask for that", "")
+            }
+            Final::OnGround { .. } => Own::problem(
+                503,
+                kind,
+                "The fleet's rules cannot be confirmed now, and this is not served without",
+                "Nothing was done; trying again does no harm.",
+            ),
             Final::NoVerdict { .. } => {
                 Own::problem(503, kind, "The token cannot be checked now", "Nothing was done; try again.")
             }
--- /dev/null
+++ b/crates/gateway/src/staff_rules.rs
@@ -0,0 +1,155 @@
+//! Staff pages of the fleet's agreed rules: how they stand, publishing, taking back.
+
+use crate::agreed::Agreed;
+use frostgauge_accord::{Gateway, Message, Number, Outcome, Proposal};
+use frostgauge_fleet::task::Mail;
+use frostgauge_net::{Page, Question};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The task answers at once, except what needs the keepers.
+const SOON: Duration = Duration::from_secs(2);
+/// A staff connection's time is over after 5 s; an editor that is told nothing asks again with the same id.
+const PUBLISH: Duration = Duration::from_secs(4);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Publish {
+    base: Number,
+    author: String,
+    reason: String,
+    /// Of an earlier try, to ask what became of it.
+    id: Option<u64>,
+    rules: Value,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Withdraw {
+    version: Number,
+    reason: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Retire {
+    gateway: Gateway,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Keepers {
+    keepers: BTreeSet<Gateway>,
+}
+
+fn page(status: u16, value: &Value) -> Page {
+    Page { status, ..Page::json(format!("{value:#}\n")) }
+}
+
+fn bad(reason: &str) -> Page {
+    page(400, &json!({ "error": reason }))
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Page> {
+    serde_json::from_slice(body).map_err(|e| bad(&e.to_string()))
+}
+
+/// Answers a question about the rules; none: it is about something else.
+pub(crate) async fn answer(agreed: Option<&Agreed>, question: &Question) -> Option<Page> {
+    let rest = question.target.strip_prefix("/accord")?;
+    let Some(agreed) = agreed else {
+        return Some(page(404, &json!({ "error": "the settings have no section accord" })));
+    };
+    let body = &question.body;
+    Some(match (question.method.as_str(), rest) {
+        ("GET", "") => match agreed.task().ask(Mail::Status, SOON).await {
+            Some(status) => page(200, &status),
+            None => page(503, &json!({ "error": "the task does not answer" })),
+        },
+        ("GET", rest) if rest.starts_with("/rules") => rules(agreed, rest).await,
+        ("POST", "/publish") => publish(agreed, body).await.unwrap_or_else(|page| page),
+        ("POST", "/withdraw") => match read::<Withdraw>(body) {
+            Ok(Withdraw { version, reason }) => operate(agreed, Message::Withdraw { version, reason }),
+            Err(page) => page,
+        },
+        ("POST", "/retire") => match read::<Retire>(body) {
+            Ok(Retire { gateway }) => operate(agreed, Message::Retire { gateway }),
+            Err(page) => page,
+        },
+        ("POST", "/keepers") => match read::<Keepers>(body) {
+            Ok(Keepers { keepers }) if matches!(keepers.len(), 3 | 5 | 7) => {
+                operate(agreed, Message::Rekey { keepers })
+            }
+            Ok(_) => bad("keepers: 3, 5 or 7 may be"),
+            Err(page) => page,
+        },
+        _ => page(
+            404,
+            &json!({ "error": "GET /accord, /accord/rules[/N]; POST /accord/publish, /withdraw, /retire, /keepers" }),
+        ),
+    })
+}
+
+async fn rules(agreed: &Agreed, rest: &str) -> Page {
+    let number = match rest.strip_prefix("/rules").map(|r| r.trim_start_matches('/')) {
+        Some("") => None,
+        Some(number) => match number.parse::<Number>() {
+            Ok(number) => Some(number),
+            Err(_) => return bad("GET /accord/rules or /accord/rules/NUMBER"),
+        },
+        None => None,
+    };
+    match agreed.task().ask(|reply| Mail::Version(number, reply), SOON).await.flatten() {
+        Some((number, rules)) => page(200, &json!({ "version": number, "rules": rules })),
+        None => page(404, &json!({ "error": "this gateway does not know that version" })),
+    }
+}
+
+/// Said to every keeper that is known; what came of it shows in `GET /accord`.
+fn operate(agreed: &Agreed, message: Message) -> Page {
+    if agreed.task().say(Mail::Operate(message)) {
+        page(202, &json!({ "said": true }))
+    } else {
+        page(503, &json!({ "error": "the task has no room" }))
+    }
+}
+
+async fn publish(agreed: &Agreed, body: &[u8]) -> Result<Page, Page> {
+    let Publish { base, author, reason, id, rules } = read(body)?;
+    // The whole check comes here already, with paths: the keepers would say the same.
+    let rules = frostgauge_settings::read_rules(&rules).map_err(|faults| {
+        let faults: Vec<Value> =
+            faults.0.iter().map(|f| json!({ "path": f.path, "reason": f.reason })).collect();
+        page(422, &json!({ "outcome": "faulty", "faults": faults }))
+    })?;
+    let id = id.unwrap_or_else(rand::random);
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let time_ms = u64::try_from(since.as_millis()).unwrap_or(0);
+    let proposal = Box::new(Proposal { id, base, author, reason, time_ms, rules });
+    let told = agreed.task().ask(|reply| Mail::Propose(proposal, reply), PUBLISH).await.flatten();
+    let faults = |faults: &[frostgauge_accord::Fault]| -> Vec<Value> {
+        faults.iter().map(|f| json!({ "path": f.path, "reason": f.reason })).collect()
+    };
+    Ok(match told {
+        Some(Outcome::Numbered(version)) => {
+            page(200, &json!({ "outcome": "numbered", "version": version, "id": id }))
+        }
+        Some(Outcome::Overtaken { latest, changed }) => {
+            page(409, &json!({ "outcome": "overtaken", "latest": latest, "changed": changed, "id": id }))
+        }
+        Some(Outcome::Faulty(f)) => {
+            page(422, &json!({ "outcome": "faulty", "faults": faults(&f), "id": id }))
+        }
+        Some(Outcome::BreaksGround { of, held_by, places }) => page(
+            409,
+            &json!({
+                "outcome": "breaks ground", "of": of, "held_by": held_by, "places": faults(&places), "id": id,
+            }),
+        ),
+        Some(Outcome::Full(kept)) => page(503, &json!({ "outcome": "full", "kept": kept, "id": id })),
+        // It may yet be numbered: the same id tells.
+        None => page(504, &json!({ "outcome": "not known", "id": id })),
+    })
+}
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -1,9 +1,11 @@
 //! An attempt at a node, and a probe: what goes out, and what the end says.
 
+use crate::agreed::Look;
 use frostgauge::{Load, Status};
-use frostgauge_net::{exchange, End, Pool, Response};
+use frostgauge_net::{exchange, exchange_when, End, Pool, Response};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
 use frostgauge_proto::{orca, trace};
+use std::borrow::Cow;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -106,17 +108,36 @@
     Ended { status, response: Some(response), used: report.and_then(|r| r.quota_use), load }
 }
 
+/// A request as it goes to a node.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+    /// It is a HEAD: the response has no content.
+    pub to_head: bool,
+    /// The last look at the fleet's rules, right before the bytes go.
+    pub look: Option<Look>,
+}
+
 /// Makes an attempt.
 pub async fn attempt(
     pool: &Pool,
     to: SocketAddr,
-    request: &[u8],
-    to_head: bool,
+    mut request: Outgoing,
     limits: &Limits,
     connect: Duration,
     deadline: Instant,
 ) -> Ended {
-    ended(exchange(pool, to, request, to_head, limits, connect, deadline).await)
+    let Outgoing { bytes, to_head, look } = &mut request;
+    let last = || match look {
+        Some(look) => look.stamp(bytes),
+        None => Some(Cow::Borrowed(&bytes[..])),
+    };
+    let ended = ended(exchange_when(pool, to, last, *to_head, limits, connect, deadline).await);
+    if let Some(look) = &request.look {
+        look.ended(&ended);
+    }
+    ended
 }
 
 /// Probes a node: a GET of the settings' path, given up after the time for connecting.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -2,4 +2,4 @@
 
 mod attempt;
 
-pub use attempt::{attempt, probe, Ended, Forward, NOT_RUN};
+pub use attempt::{attempt, probe, Ended, Forward, Outgoing, NOT_RUN};
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -5,6 +5,7 @@
 use async_io::Async;
 use frostgauge_proto::http::{BodyReader, Framing, Head, HeadReader, Limits};
 use futures_lite::AsyncWriteExt;
+use std::borrow::Cow;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -42,10 +43,30 @@
     limits: &Limits,
     connect: Duration,
     deadline: Instant,
+) -> End {
+    let always = || Some(Cow::Borrowed(request));
+    exchange_when(pool, to, always, to_head, limits, connect, deadline).await
+}
+
+/// The same, with a last look: `look` gives the bytes once the connection stands, right before the first of them goes
+/// out, or none if nothing may go any more ([`End::NotTried`]). It may be asked once more if an idle connection turns
+/// out to be closed.
+pub async fn exchange_when<'a>(
+    pool: &Pool,
+    to: SocketAddr,
+    mut look: impl FnMut() -> Option<Cow<'a, [u8]>>,
+    to_head: bool,
+    limits: &Limits,
+    connect: Duration,
+    deadline: Instant,
 ) -> End {
     if let Some(stream) = pool.take(to) {
+        let Some(request) = look() else {
+            pool.put(to, stream);
+            return End::NotTried;
+        };
         let mut written = 0;
-        match until(deadline, talk(&stream, request, to_head, limits, &mut written)).await {
+        match until(deadline, talk(&stream, &request, to_head, limits, &mut written)).await {
             Timed::Done(Ok((response, keep))) => {
                 if keep {
                     pool.put(to, stream);
@@ -69,8 +90,12 @@
         Timed::Late => return End::NotConnected,
     };
     let _ = stream.get_ref().set_nodelay(true);
+    let Some(request) = look() else {
+        pool.put(to, stream);
+        return End::NotTried;
+    };
     let mut written = 0;
-    match until(deadline, talk(&stream, request, to_head, limits, &mut written)).await {
+    match until(deadline, talk(&stream, &request, to_head, limits, &mut written)).await {
         Timed::Done(Ok((response, keep))) => {
             if keep {
                 pool.put(to, stream);
--- a/crates/rig/src/bench.rs
+++ b/crates/rig/src/bench.rs
@@ -177,7 +177,7 @@
         ["introspection", "--listen", "127.0.0.1:0", "--authorization", &authorization, "--delay-ms", "0"];
     let mut tokens = Process::start(program, "introspection", &args, &log)?;
     let introspection = tokens.address()?;
-    let ([door, admin], _held) = crate::fleet::some_ports()?;
+    let ([door, admin], _held) = crate::ports::some_ports()?;
     let insurers: serde_json::Map<_, _> =
         (0..8).map(|k| (format!("bench-{k}"), json!({ "plan": "wide" }))).collect();
     let settings = json!({
@@ -195,9 +195,9 @@
         "zones": ["a"],
         "nodes": list.iter().map(|a| json!({ "address": a, "zone": "a" })).collect::<Vec<_>>(),
     });
-    crate::fleet::write_whole(&folder.path().join("secret"), "sesame", true)?;
+    crate::written::write_whole(&folder.path().join("secret"), "sesame", true)?;
     let config = folder.path().join("gateway.jsonnet");
-    crate::fleet::write_whole(&config, &settings.to_string(), false)?;
+    crate::written::write_whole(&config, &settings.to_string(), false)?;
     let gateway =
         Process::start(program, "gateway", &["daemon", "--config", &config.display().to_string()], &log)?;
     let end = Instant::now() + Duration::from_secs(10);
--- a/crates/rig/src/bench_counter.rs
+++ b/crates/rig/src/bench_counter.rs
@@ -1,9 +1,10 @@
 //! The counter measured against a bare loop of append and sync with the same groups, and against itself
 //! without a log, in turns in one run.
 
-use crate::fleet::{some_ports, write_whole};
+use crate::ports::some_ports;
 use crate::process::Process;
 use crate::run::Folder;
+use crate::written::write_whole;
 use async_executor::Executor;
 use frostgauge_count::{CallsConfig, Op};
 use frostgauge_counter::client::{connect, Config};
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,28 +1,31 @@
 //! The processes of a run and the files they read.
 
+use crate::agreed::{Link, Published};
 use crate::facts::{Facts, Life, Span, Told};
+use crate::ports::Ports;
 use crate::process::Process;
 use crate::scenario::Scenario;
+use crate::written::{lay, write_whole};
+use async_executor::Executor;
+use async_io::Async;
 use frostgauge_net::{exchange, End, Pool};
 use frostgauge_proto::http::{write_request, Body, Limits};
 use frostgauge_proto::introspection::client_basic;
+use frostgauge_standins::paths::Path;
 use frostgauge_standins::{dice, introspection, node, now};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::{json, Value};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path as FilePath, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Ports are taken from below the range that the system gives to outgoing connections, so that a process
-/// killed can have its port again.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
 /// How long a process may take to be ready.
 const READY: Duration = Duration::from_secs(20);
-const CLIENT: (&str, &str) = ("gateways", "not-a-real-secret");
+pub(crate) const CLIENT: (&str, &str) = ("gateways", "not-a-real-secret");
 
 /// What the list says of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +73,10 @@
     gateways: Vec<GatewaySlot>,
     introspection: Option<Process>,
     counter: Option<Process>,
+    /// Versions of the fleet's rules that the script asked for.
+    pub published: Vec<Published>,
+    /// Changes of them that were not to be had in time.
+    pub unpublished: Vec<String>,
     /// Folders of the counter's files: one, and one more for each return with nothing.
     pub counter_folders: Vec<PathBuf>,
     ports: Ports,
@@ -83,98 +90,24 @@
     pub dir: PathBuf,
     /// Where gateways take clients.
     pub doors: Vec<SocketAddr>,
-    program: PathBuf,
+    /// What plays the roles.
+    pub(crate) program: PathBuf,
     backplane: SocketAddr,
-    introspection: SocketAddr,
+    pub(crate) introspection: SocketAddr,
     /// Where the counter listens, where staff ask it, and the path there on which replies may be lost.
     pub counter: [SocketAddr; 3],
-    seed: u64,
+    /// Of all draws.
+    pub(crate) seed: u64,
+    /// Where gateways take links from each other, and the relays between them; none without agreed rules.
+    pub(crate) link_doors: Vec<SocketAddr>,
+    /// The relays.
+    pub links: Vec<Link>,
     state: Mutex<State>,
     pool: Pool,
 }
 
-/// Ports of a run. Runs side by side claim blocks: the first port of a block is held bound while the run
-/// lasts, the others are the run's. Guards against two runs that find the same port free, and whose
-/// clients then talk to each other's gateways.
-#[derive(Debug, Default)]
-struct Ports {
-    held: Vec<TcpListener>,
-    next: u16,
-    end: u16,
-}
-
-/// Ports of a block.
-const BLOCK: u16 = 100;
-
-impl Ports {
-    fn take(&mut self) -> Result<SocketAddr, String> {
-        loop {
-            if self.next == self.end {
-                self.claim()?;
-            }
-            let address = SocketAddr::from(([127, 0, 0, 1], self.next));
-            self.next += 1;
-            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-                return Ok(address);
-            }
-        }
-    }
-
-    fn claim(&mut self) -> Result<(), String> {
-        let blocks = (PORTS.end - PORTS.start) / BLOCK;
-        let from = rand::rng().random_range(0..blocks);
-        for k in 0..blocks {
-            let first = PORTS.start + (from + k) % blocks * BLOCK;
-            if let Ok(listener) = TcpListener::bind(("127.0.0.1", first)) {
-                self.held.push(listener);
-                (self.next, self.end) = (first + 1, first + BLOCK);
-                return Ok(());
-            }
-        }
-        Err("no free ports".into())
-    }
-}
-
-/// Some free ports, for processes that cannot choose their own; they are this run's while the holds live.
-///
-/// # Errors
-/// There are none.
-pub fn some_ports<const N: usize>() -> Result<([SocketAddr; N], Vec<TcpListener>), String> {
-    let (mut ports, mut all) = (Ports::default(), [SocketAddr::from(([127, 0, 0, 1], 0)); N]);
-    for place in &mut all {
-        *place = ports.take()?;
-    }
-    Ok((all, ports.held))
-}
-
-/// Lays one value over another: objects member by member, all else whole.
-fn lay(over: &Value, base: &mut Value) {
-    match (over, base) {
-        // Nothing is laid over by default.
-        (Value::Null, _) => {}
-        (Value::Object(over), Value::Object(base)) => {
-            for (name, value) in over {
-                lay(value, base.entry(name.clone()).or_insert(Value::Null));
-            }
-        }
-        (over, base) => *base = over.clone(),
-    }
-}
-
-/// Writes a file as a whole: a reader sees the old or the new one.
-pub(crate) fn write_whole(path: &Path, text: &str, secret: bool) -> Result<(), String> {
-    let fail = |e: std::io::Error| format!("{}: {e}", path.display());
-    let part = path.with_extension("part");
-    std::fs::write(&part, text).map_err(fail)?;
-    if secret {
-        use std::os::unix::fs::PermissionsExt;
-        std::fs::set_permissions(&part, std::fs::Permissions::from_mode(0o600)).map_err(fail)?;
-    }
-    std::fs::rename(&part, path).map_err(fail)
-}
-
 /// Waits for a process that was told to end; its exit code, or none if it goes on.
-fn end_of(process: &mut Process) -> Option<i32> {
+pub(crate) fn end_of(process: &mut Process) -> Option<i32> {
     let end = Instant::now() + READY;
     loop {
         match process.ended() {
@@ -185,6 +118,21 @@
     }
 }
 
+/// A relay for each ordered pair of gateways.
+fn relays(doors: &[SocketAddr], executor: &Arc<Executor<'static>>) -> Result<Vec<Link>, String> {
+    let mut links = vec![];
+    for from in 0..doors.len() {
+        for to in (0..doors.len()).filter(|to| *to != from) {
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
+            let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+            let path = Arc::new(Path::default());
+            executor.spawn(path.clone().run(listener, executor.clone(), doors[to])).detach();
+            links.push(Link { from, to, address, path });
+        }
+    }
+    Ok(links)
+}
+
 impl Fleet {
     /// Starts everything and waits until it is ready; `program` plays the roles, and `backplane` must be
     /// served by the caller.
@@ -192,16 +140,19 @@
     /// # Errors
     /// A process that does not start, a port or file that cannot be had.
     pub fn start(
-        program: &Path,
+        program: &FilePath,
         scenario: Scenario,
-        dir: &Path,
+        dir: &FilePath,
         seed: u64,
         backplane: SocketAddr,
+        executor: &Arc<Executor<'static>>,
     ) -> Result<Fleet, String> {
         let mut ports = Ports::default();
         let count = scenario.gateways.count;
         let mut addresses = || (0..count).map(|_| ports.take()).collect::<Result<Vec<_>, _>>();
         let (doors, admins, peers) = (addresses()?, addresses()?, addresses()?);
+        let link_doors = if scenario.accord.is_some() { addresses()? } else { vec![] };
+        let links = relays(&link_doors, executor)?;
         let introspection = ports.take()?;
         let counter = [ports.take()?, ports.take()?, ports.take()?];
         let state = State {
@@ -211,6 +162,8 @@
             gateways: admins.iter().map(|a| GatewaySlot { admin: *a, process: None }).collect(),
             introspection: None,
             counter: None,
+            published: vec![],
+            unpublished: vec![],
             counter_folders: vec![],
             ports,
         };
@@ -224,10 +177,13 @@
             introspection,
             counter,
             seed,
+            link_doors,
+            links,
             state: Mutex::new(state),
             pool,
         };
         write_whole(&dir.join("client.secret"), CLIENT.1, true)?;
+        write_whole(&dir.join("link.secret"), "shared by the links of one run", true)?;
         write_whole(&dir.join("peer.secret"), "shared by the gateways of one run", true)?;
         fleet.start_introspection()?;
         if fleet.scenario.counter.is_some() {
@@ -243,6 +199,9 @@
             // JSON is Jsonnet; the list of nodes comes from a file of its own.
             let text = text.replace("\"NODES\"", "import 'nodes.jsonnet'");
             write_whole(&fleet.settings_path(k), &text, false)?;
+        }
+        fleet.found()?;
+        for k in 0..count {
             fleet.start_gateway(k)?;
         }
         for k in 0..count {
@@ -256,103 +215,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn settings_path(&self, gateway: usize) -> PathBuf {
+    pub(crate) fn settings_path(&self, gateway: usize) -> PathBuf {
         self.dir.join(format!("gateway-{gateway}.jsonnet"))
     }
 
-    fn settings(&self, me: usize, admins: &[SocketAddr], peers: &[SocketAddr]) -> Value {
-        let s = &self.scenario;
-        let classes = s.classes.iter().map(|(name, c)| {
-            use frostgauge_standins::tablets::Effect;
-            let effect = match c.effect {
-                Effect::Safe => json!({ "kind": "safe" }),
-                Effect::Unsafe => json!({ "kind": "unsafe" }),
-                Effect::Keyed => json!({ "kind": "keyed", "group": "zone", "window_ms": c.window_ms }),
-            };
-            let class = json!({
-                "aim_ms": c.aim_ms, "patience_ms": c.patience_ms, "worth": c.worth, "effect": effect,
-            });
-            (name.clone(), class)
-        });
-        let routes = s.classes.iter().map(|(name, c)| {
-            json!({ "method": c.method, "path": c.path, "class": name, "units": c.units, "scope": "claims" })
-        });
-        let plans = s.plans.iter().map(|(name, p)| {
-            let plan = json!({
-                "rate": p.rate, "burst": p.burst, "open": p.open, "price": p.price,
-                "over_worth": p.over_worth, "over_cost": p.over_cost, "ceiling_rate": p.ceiling_rate,
-                "ceiling_burst": p.ceiling_burst, "ceiling_slack": p.ceiling_slack,
-            });
-            (name.clone(), plan)
-        });
-        let mut insurers = serde_json::Map::new();
-        for insurer in self.insurers() {
-            let (first, spread) = (insurer.2, insurer.3);
-            insurers.insert(insurer.0, json!({ "plan": insurer.1, "first": first, "spread": spread }));
-        }
-        for k in 0..s.one_offs {
-            insurers.insert(format!("scan-{k}"), json!({ "plan": s.insurers[0].plan }));
-        }
-        let r = &s.nodes.rules;
-        let peers = if s.gateways.count > 1 { peers } else { &[] };
-        let mut settings = json!({
-            "gateway": {
-                "number": me, "zone": s.zones[me % s.zones.len()],
-                "listen": self.doors[me].to_string(), "admin": admins[me].to_string(),
-                "source": self.source(me).to_string(),
-            },
-            "fleet": {
-                "gateways": s.gateways.count,
-                "zones": (0..s.gateways.count).map(|k| &s.zones[k % s.zones.len()]).collect::<Vec<_>>(),
-                "peers": peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
-                "peer_secret_file": "peer.secret",
-            },
-            "introspection": {
-                "address": self.introspection.to_string(), "client_id": CLIENT.0,
-                "client_secret_file": "client.secret",
-            },
-            "classes": classes.collect::<serde_json::Map<_, _>>(),
-            "plans": plans.collect::<serde_json::Map<_, _>>(),
-            "insurers": insurers,
-            "routes": routes.collect::<Vec<_>>(),
-            "zones": s.zones,
-            "nodes": "NODES",
-            "rules": {
-                "cold_from": r.cold_from, "cold_ms": r.cold_ms,
-                "fall_multiple": r.fall_multiple, "fall_ms": r.fall_ms,
-            },
-            "limits": { "meter_ms": s.meter.period_ms },
-        });
-        if let Some(counter) = &s.counter {
-            settings["counter"] =
-                json!({ "address": self.counter[2].to_string(), "key_file": format!("keys/{me}.key") });
-            lay(&counter.call, &mut settings["counter"]);
-        }
-        lay(&s.gateways.settings, &mut settings);
-        settings
-    }
-
-    /// Where a gateway's connections come from: an address of its own on loopback, so that paths can be cut.
-    pub fn source(&self, gateway: usize) -> std::net::IpAddr {
-        let zone = (gateway % self.scenario.zones.len()) as u8;
-        std::net::Ipv4Addr::new(127, 0, zone + 1, (gateway + 1) as u8).into()
-    }
-
-    /// Every insurer: name, plan, first gateway, spread, what it asks in quotas.
-    pub fn insurers(&self) -> Vec<(String, String, usize, usize, f64)> {
-        let mut rng = dice(self.seed, "insurers");
-        let (mut all, gateways) = (vec![], self.scenario.gateways.count);
-        for (g, group) in self.scenario.insurers.iter().enumerate() {
-            for k in 0..group.count {
-                let uses = group.uses[0] + (group.uses[1] - group.uses[0]) * rng.random::<f64>();
-                let first = rng.random_range(0..gateways);
-                let spread = group.spread.unwrap_or(gateways).clamp(1, gateways);
-                all.push((format!("ins-{g}-{k}"), group.plan.clone(), first, spread, uses));
-            }
-        }
-        all
-    }
-
     // ---- Nodes ----
 
     /// Starts a node at a new address, listed as ready; its index.
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -22,6 +22,8 @@
     pub quota: Value,
     /// Counts of the counter, where there is one.
     pub counter: Option<Value>,
+    /// How the agreed rules were kept, where there are some.
+    pub accord: Option<Value>,
 }
 
 /// Microseconds of the served tries.
@@ -68,6 +70,7 @@
             "rules": rules,
             "quota": self.quota,
             "counter": self.counter,
+            "accord": self.accord,
             "unmet": self.unmet,
             "latency_ms": ms,
         })
--- a/crates/rig/src/roles.rs
+++ b/crates/rig/src/roles.rs
@@ -19,6 +19,16 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Write what a fleet begins with into a keeper's folder, as `frostgauged --found` does.
+    #[command(hide = true)]
+    Found {
+        /// The settings.
+        #[arg(long)]
+        config: PathBuf,
+        /// The rules.
+        #[arg(long)]
+        rules: PathBuf,
+    },
     /// Be a counter, as `frostgauge-counter` is.
     #[command(hide = true)]
     CounterDaemon {
@@ -107,7 +117,7 @@
     let executor = Arc::new(Executor::new());
     let work = async {
         match role {
-            Role::Daemon { .. } | Role::CounterDaemon { .. } => Ok(()),
+            Role::Daemon { .. } | Role::Found { .. } | Role::CounterDaemon { .. } => Ok(()),
             Role::Echo { ports } => {
                 for _ in 0..*ports {
                     let listener = bind(([127, 0, 0, 1], 0).into())?;
@@ -143,6 +153,7 @@
             end_with_parent();
             return frostgauge_gateway::daemon::run(config);
         }
+        Role::Found { config, rules } => return frostgauge_gateway::daemon::found(config, rules),
         Role::CounterDaemon { config, no_log, stretch_us } => {
             frostgauge_counter::log(true);
             end_with_parent();
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -1,5 +1,7 @@
 //! One run of a scenario: start, play, end, check.
 
+use crate::agreed::Accord;
+use crate::agreed_checks::{self, Terms as Agreement};
 use crate::checks::{self, Recorded, Terms};
 use crate::counted::{self, Told};
 use crate::facts::Facts;
@@ -10,6 +12,7 @@
 use crate::script::{self, Stage};
 use async_executor::Executor;
 use async_io::{Async, Timer};
+use frostgauge_accord::Rules;
 use frostgauge_proto::counter::Key;
 use frostgauge_standins::adders::{self, Adders};
 use frostgauge_standins::backplane::Backplane;
@@ -63,7 +66,7 @@
             .collect();
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
         let backplane: SocketAddr = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
-        let fleet = Arc::new(Fleet::start(program, scenario, dir, seed, backplane)?);
+        let fleet = Arc::new(Fleet::start(program, scenario, dir, seed, backplane, &executor)?);
         let lossy = Arc::new(Lossy::default());
         if fleet.scenario.counter.is_some() {
             let path = frostgauge_net::listen(fleet.counter[2]).map_err(|e| e.to_string())?;
@@ -197,13 +200,14 @@
     // What was unasked for on idle connections shows by now.
     let strays = tablets.strays();
     fleet.look_for_dead();
+    let versions = if s.accord.is_some() { fleet.versions().await } else { BTreeMap::new() };
     progress("ending the gateways");
     for k in 0..fleet.doors.len() {
         // A step may just be starting one anew.
         fleet.end_gateway(k);
     }
     fleet.end_counter();
-    check(site, &named, &tablets, adders.as_deref(), strays, hanging, seed, &notes)
+    check(site, &named, &tablets, adders.as_deref(), strays, hanging, seed, &notes, versions)
 }
 
 /// What the counter's files and its callers' notes come to: violations, and counts for the report.
@@ -246,6 +250,7 @@
     hanging: usize,
     seed: u64,
     notes: &Path,
+    versions: BTreeMap<u64, Rules>,
 ) -> Result<Report, String> {
     let fleet = &site.fleet;
     let s = &fleet.scenario;
@@ -292,6 +297,7 @@
         rules.insert("counted", found);
         figures
     });
+    let accord = s.accord.as_ref().map(|a| agreed(fleet, a, &nodes, versions, &mut rules));
     let units = s.classes.iter().map(|(n, c)| (n.clone(), c.units)).collect();
     let quota = quota::quality(&tries, &nodes, &terms, &units);
     let ops: BTreeSet<&str> = tries.iter().map(|t| t.op.as_str()).collect();
@@ -318,5 +324,30 @@
     );
     expect(share(failed) <= e.failed, format!("failed: {:.3}, at most {} expected", share(failed), e.failed));
     expect(!e.clean_end || facts.unclean.is_empty(), format!("ends: {}", facts.unclean.join(", ")));
-    Ok(Report { seed, tries, rules, unmet, operations: (begun, served), quota, counter })
+    Ok(Report { seed, tries, rules, unmet, operations: (begun, served), quota, counter, accord })
+}
+
+/// How the fleet kept to its agreed rules, as the nodes saw it: violations into `rules`, and figures.
+fn agreed(
+    fleet: &Fleet,
+    accord: &Accord,
+    nodes: &[Recorded],
+    versions: BTreeMap<u64, Rules>,
+    rules: &mut BTreeMap<&'static str, Vec<String>>,
+) -> Value {
+    let within = accord.settings.get("within_ms").and_then(Value::as_u64);
+    let within = within.unwrap_or(frostgauge_accord::Settings::default().within_ms) * 1_000;
+    let state = fleet.state();
+    let names = state.nodes.iter().enumerate().map(|(k, n)| (n.address, Fleet::node_name(k)));
+    let names = names.collect();
+    let asked = state.published.iter().map(|p| (p.version, p.asked)).collect();
+    let (found, mut figures) = agreed_checks::check(nodes, &Agreement { versions, names, within, asked });
+    rules.extend(found);
+    figures["unpublished"] = json!(state.unpublished);
+    // A number that two editors were told is one version lost.
+    let mut numbers = BTreeSet::new();
+    let twice = state.published.iter().filter(|p| !numbers.insert(p.version));
+    let twice = twice.map(|p| format!("version {} was told to two editors", p.version)).collect();
+    rules.insert("versions", twice);
+    figures
 }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios: a day's fleet, customers, clients, troubles and expectations, as a Jsonnet template.
 
+use crate::agreed::Accord;
 use crate::steps::Step;
 use frostgauge_settings::{Fault, Faults, Plan, Rules};
 use frostgauge_standins::tablets::{Effect, Habits};
@@ -41,6 +42,9 @@
     /// The shared counter; none: there is none.
     #[serde(default)]
     pub counter: Option<Counter>,
+    /// The fleet's agreed rules; none: each gateway goes by its own file.
+    #[serde(default)]
+    pub accord: Option<Accord>,
     /// What happens.
     #[serde(default)]
     pub steps: Vec<Step>,
@@ -245,10 +249,25 @@
         if scenario.counter.is_none() && step.trouble.needs_counter() {
             need(false, &format!("steps[{k}]"), "needs a counter, and there is none");
         }
+        if scenario.accord.is_none() && step.trouble.needs_accord() {
+            need(false, &format!("steps[{k}]"), "needs agreed rules, and there are none");
+        }
+        let named = step.trouble.gateways();
+        need(
+            named.iter().all(|g| *g < scenario.gateways.count),
+            &format!("steps[{k}]"),
+            "names a gateway that is not there",
+        );
         if let Err(reason) = step.trouble.check() {
             need(false, &format!("steps[{k}]"), &reason);
         }
     }
+    if let Some(accord) = &scenario.accord {
+        let keepers =
+            matches!(accord.keepers, 3 | 5 | 7) && usize::from(accord.keepers) <= scenario.gateways.count;
+        need(keepers, "accord.keepers", "is not 3, 5 or 7 of the gateways");
+        need((0.0..=1.0).contains(&accord.floor), "accord.floor", "is not between 0 and 1");
+    }
     if faults.is_empty() {
         Ok(scenario)
     } else {
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -9,6 +9,7 @@
 use frostgauge_standins::lossy::Lossy;
 use frostgauge_standins::node::Control;
 use frostgauge_standins::now;
+use frostgauge_standins::paths::How;
 use frostgauge_standins::tablets::Tablets;
 use rand::seq::SliceRandom;
 use rand::RngExt;
@@ -349,6 +350,50 @@
                 fleet.state().facts.revoked.extend(revoke.into_iter().map(|token| (token, t)));
             }
             Reload {} => fleet.publish(),
+            LinkCut { from, to, both, how, len } => {
+                let set = |how| {
+                    fleet.paths(from, to, how, Duration::ZERO);
+                    if *both {
+                        fleet.paths(to, from, how, Duration::ZERO);
+                    }
+                };
+                set(*how);
+                wait(*len).await;
+                set(How::Open);
+            }
+            LinkSlow { ms, len } => {
+                let all: Vec<usize> = (0..fleet.doors.len()).collect();
+                fleet.paths(&all, &all, How::Open, Duration::from_millis(*ms));
+                wait(*len).await;
+                fleet.paths(&all, &all, How::Open, Duration::ZERO);
+            }
+            Stop { gateways, len } => {
+                let from = now();
+                gateways.iter().for_each(|k| fleet.signal_gateway(*k, Signal::STOP));
+                wait(*len).await;
+                gateways.iter().for_each(|k| fleet.signal_gateway(*k, Signal::CONT));
+                let spans = gateways.iter().map(|k| Span { gateway: *k, from, to: now() });
+                fleet.state().facts.stalled.extend(spans);
+            }
+            Kill { gateways, down, lose_disk } => {
+                gateways.iter().for_each(|k| fleet.kill_gateway(*k));
+                if *lose_disk {
+                    for k in gateways {
+                        let folder = fleet.dir.join(format!("accord-{k}"));
+                        std::fs::remove_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+                    }
+                }
+                wait(*down).await;
+                for k in gateways {
+                    fleet.revive_gateway(*k)?;
+                }
+            }
+            Publish { by, change } => {
+                if !fleet.edit(*by, change).await? {
+                    let what = format!("{change:?}");
+                    fleet.state().unpublished.push(what);
+                }
+            }
             BadReload {} => (0..fleet.doors.len()).try_for_each(|k| fleet.bad_reload(k))?,
         }
         Ok(())
--- a/crates/rig/src/steps.rs
+++ b/crates/rig/src/steps.rs
@@ -1,5 +1,7 @@
 //! The troubles that a script can play, by name.
 
+use crate::agreed::Change;
+use frostgauge_standins::paths::How;
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -87,6 +89,28 @@
     Reload {},
     /// Gateways are given settings that are no good.
     BadReload {},
+    /// Links from some gateways to others are silent, refuse or swallow for `len` seconds; `both` ways if so said.
+    LinkCut {
+        from: Vec<usize>,
+        to: Vec<usize>,
+        #[serde(default)]
+        both: bool,
+        how: How,
+        len: f64,
+    },
+    /// Each piece on any link takes `ms` longer.
+    LinkSlow { ms: u64, len: f64 },
+    /// Some gateways by number stand still.
+    Stop { gateways: Vec<usize>, len: f64 },
+    /// Some gateways by number are killed, and come back after `down`; with nothing on their disks, if so said.
+    Kill {
+        gateways: Vec<usize>,
+        down: f64,
+        #[serde(default)]
+        lose_disk: bool,
+    },
+    /// A version of the agreed rules is published through a gateway.
+    Publish { by: usize, change: Change },
 }
 
 /// How a counter is not there.
@@ -115,6 +139,21 @@
         matches!(self, Trouble::CounterDown { .. } | Trouble::CounterKill { .. } | Trouble::ReplyLost { .. })
     }
 
+    /// Whether it happens to the fleet's agreed rules.
+    pub fn needs_accord(&self) -> bool {
+        matches!(self, Trouble::LinkCut { .. } | Trouble::LinkSlow { .. } | Trouble::Publish { .. })
+    }
+
+    /// Gateways that it names.
+    pub fn gateways(&self) -> Vec<usize> {
+        match self {
+            Trouble::LinkCut { from, to, .. } => from.iter().chain(to).copied().collect(),
+            Trouble::Stop { gateways, .. } | Trouble::Kill { gateways, .. } => gateways.clone(),
+            Trouble::Publish { by, .. } => vec![*by],
+            _ => vec![],
+        }
+    }
+
     /// Whether its figures make sense.
     ///
     /// # Errors
--- a/crates/rig/tests/checkers.rs
+++ b/crates/rig/tests/checkers.rs
@@ -36,7 +36,7 @@
 
 fn line(t: u64, what: What, request: &str, op: &str, class: &str) -> Line {
     let (request, op, class) = (request.into(), op.into(), class.into());
-    Line { t, what, request, attempt: 0, insurer: "vale".into(), class, op, units: 1.0 }
+    Line { t, what, request, attempt: 0, insurer: "vale".into(), class, op, units: 1.0, rules: String::new() }
 }
 
 fn at(k: u16, lines: Vec<Line>) -> Recorded {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -78,6 +78,9 @@
     if let Some(policy) = &f.zone_policy {
         zone_policy(&mut c, f, policy);
     }
+    if let Some(a) = &f.accord {
+        crate::accord::check(&mut c, f, a);
+    }
     c.0
 }
 
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -37,6 +37,8 @@
     pub zone_policy: Option<ZonePolicy>,
     /// The shared counter; none: gateways go by each other's word and the meter.
     pub counter: Option<CounterCall>,
+    /// One set of rules for the fleet, agreed on; none: each gateway goes by its own file.
+    pub accord: Option<crate::Accord>,
 }
 
 /// How the shared counter is called.
@@ -543,7 +545,7 @@
     }
 }
 
-const SECTIONS: [&str; 13] = [
+const SECTIONS: [&str; 14] = [
     "gateway",
     "fleet",
     "introspection",
@@ -557,6 +559,7 @@
     "limits",
     "zone_policy",
     "counter",
+    "accord",
 ];
 
 /// Reads a value into the shape of a file.
@@ -573,6 +576,7 @@
     let (routes, zones, nodes) = (s.list("routes"), s.list("zones"), s.list("nodes"));
     let (rules, limits) = (s.optional("rules"), s.optional("limits"));
     let (zone_policy, counter) = (s.optional("zone_policy"), s.optional("counter"));
+    let accord = s.optional("accord");
     let file = (|| {
         Some(File {
             gateway: gateway?,
@@ -588,6 +592,7 @@
             limits: limits?,
             zone_policy: zone_policy?,
             counter: counter?,
+            accord: accord?,
         })
     })();
     file.filter(|_| s.faults.is_empty()).ok_or(Faults(s.faults))
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings: a Jsonnet template, evaluated, read into types and checked as a whole. Every error found is
 //! told with the path of the field at fault; a file with any error changes nothing.
 
+mod accord;
 mod check;
 mod counter;
 mod file;
@@ -8,6 +9,7 @@
 mod secret;
 mod template;
 
+pub use accord::{load_rules, read_rules, Accord};
 pub use counter::{load_counter, CounterFile, CounterLimits, CounterLoaded};
 pub use file::*;
 pub use loaded::{customer_id, server_id, Insurer, Loaded, Node, Route, Routed};
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -47,6 +47,9 @@
     /// Units drawn.
     #[serde(default)]
     pub units: f64,
+    /// The rules that it went under, as the gateway stamped it.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub rules: String,
 }
 
 /// Appends to a ledger.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 pub mod lossy;
 pub mod node;
+pub mod paths;
 pub mod plain;
 pub mod serve;
 pub mod tablets;
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -169,8 +169,8 @@
 
 impl Node {
     fn line(&self, what: What) -> Line {
-        let (request, insurer, class, op) = Default::default();
-        Line { t: now(), what, request, attempt: 0, insurer, class, op, units: 0.0 }
+        let (request, insurer, class, op, rules) = Default::default();
+        Line { t: now(), what, request, attempt: 0, insurer, class, op, units: 0.0, rules }
     }
 
     fn note(&self, job: &Job<'_>, what: What) {
@@ -196,6 +196,7 @@
             class: class.name.clone(),
             op: text("operation"),
             units: class.units,
+            rules: text("frostgauge-rules"),
             ..self.line(What::Recv)
         };
         let key = Some(text("idempotency-key")).filter(|_| class.window > 0);
@@ -322,11 +323,16 @@
         self.served(job)
     }
 
-    /// Whether it is alive: a paused one does not answer.
+    /// Whether it is alive: a paused one does not answer, one that drains says so.
     async fn health(&self) -> Act {
         self.awake().await;
-        let report = self.state.lock().map(|s| s.report).unwrap_or_default();
-        let fields = vec![(orca::FIELD, report.write())];
+        let (report, draining) =
+            (self.state.lock()).map(|s| (s.report, s.trouble.draining == Some(true))).unwrap_or_default();
+        let mut fields = vec![(orca::FIELD, report.write())];
+        if draining {
+            fields.push(("frostgauge-not-run", "draining".to_owned()));
+            return Act::Answer { status: 503, fields, body: b"{}".to_vec(), chunked: false };
+        }
         Act::Answer { status: 200, fields, body: b"{}".to_vec(), chunked: false }
     }
 
