Budgets of connections: policy proven for every condition, max-min shares, turns, a ledger of slots

Change: crates/budget, free of I/O and of floating point: the policy as data with its check, conditions with hysteresis, weighted max-min within floors and ceilings, whole connections by turns, a ledger of slots by server, a gateway's side of it, and a planner that moves few. Not used by any gateway yet.

--- /dev/null
+++ b/crates/budget/src/conditions.rs
@@ -0,0 +1,121 @@
+//! Whether conditions hold, with hysteresis, from what was seen.
+
+use crate::policy::{Condition, Policy};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is seen at a time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Zones that are dark.
+    pub dark: BTreeSet<String>,
+    /// The keepers can be reached.
+    pub keepers: bool,
+    /// Use of each budget, in hundredths; a budget of which nothing is known is left out, and nothing changes by it.
+    pub used_percent: BTreeMap<String, u8>,
+    /// Minutes from midnight, UTC.
+    pub minute: u16,
+}
+
+/// How a condition stands.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    holds: bool,
+    /// Since when what is seen has spoken against how it stands.
+    against: Option<u64>,
+}
+
+/// The conditions of a policy.
+#[derive(Clone, Debug, Default)]
+pub struct Conditions(BTreeMap<String, Standing>);
+
+impl Conditions {
+    /// Takes what is seen now, microseconds on any clock that only goes on; true if a condition changed.
+    pub fn see(&mut self, now: u64, policy: &Policy, seen: &Seen) -> bool {
+        self.0.retain(|name, _| policy.conditions.contains_key(name));
+        let mut changed = false;
+        for (name, condition) in &policy.conditions {
+            let standing = self.0.entry(name.clone()).or_default();
+            let Some((is, begin_ms, end_ms)) = look(condition, seen, standing.holds) else { continue };
+            if is == standing.holds {
+                standing.against = None;
+                continue;
+            }
+            let since = *standing.against.get_or_insert(now);
+            let wait_ms = if is { begin_ms } else { end_ms };
+            if now.saturating_sub(since) >= wait_ms.saturating_mul(1_000) {
+                *standing = Standing { holds: is, against: None };
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Those that hold.
+    pub fn hold(&self) -> BTreeSet<String> {
+        self.0.iter().filter(|(_, s)| s.holds).map(|(n, _)| n.clone()).collect()
+    }
+}
+
+/// Whether it is so by what is seen, and how long that must last to begin and to end; none: nothing is known.
+fn look(condition: &Condition, seen: &Seen, holds: bool) -> Option<(bool, u64, u64)> {
+    Some(match condition {
+        Condition::ZoneDark { zone, for_ms, over_ms } => (seen.dark.contains(zone), *for_ms, *over_ms),
+        Condition::KeepersUnreachable { for_ms, over_ms } => (!seen.keepers, *for_ms, *over_ms),
+        Condition::UseOver { budget, percent, for_ms, under_percent, over_ms } => {
+            let used = *seen.used_percent.get(budget)?;
+            // Between the two marks it stays as it is.
+            let is = if holds { used >= *under_percent } else { used > *percent };
+            (is, *for_ms, *over_ms)
+        }
+        Condition::Hours { from_min, to_min } => {
+            let (from, to, at) = (*from_min, *to_min, seen.minute);
+            let is = if from <= to { (from..to).contains(&at) } else { at >= from || at < to };
+            (is, 0, 0)
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn policy(condition: Condition) -> Policy {
+        Policy { conditions: [("c".into(), condition)].into(), ..Policy::default() }
+    }
+
+    const MS: u64 = 1_000;
+
+    #[test]
+    fn a_zone_must_be_dark_for_a_while_and_back_for_a_while() {
+        let p = policy(Condition::ZoneDark { zone: "a".into(), for_ms: 100, over_ms: 500 });
+        let (dark, light) = (Seen { dark: ["a".to_owned()].into(), ..Seen::default() }, Seen::default());
+        let mut c = Conditions::default();
+        assert!(!c.see(0, &p, &dark) && !c.see(99 * MS, &p, &dark));
+        // A moment of light begins it anew.
+        assert!(!c.see(99 * MS, &p, &light) && !c.see(150 * MS, &p, &dark) && !c.see(249 * MS, &p, &dark));
+        assert!(c.see(250 * MS, &p, &dark) && c.hold().contains("c"));
+        assert!(!c.see(300 * MS, &p, &light) && !c.see(799 * MS, &p, &light));
+        assert!(c.see(800 * MS, &p, &light) && c.hold().is_empty());
+    }
+
+    #[test]
+    fn use_between_the_marks_and_use_unknown_change_nothing() {
+        let over =
+            Condition::UseOver { budget: "b".into(), percent: 90, for_ms: 0, under_percent: 70, over_ms: 0 };
+        let p = policy(over);
+        let used = |n: u8| Seen { used_percent: [("b".to_owned(), n)].into(), ..Seen::default() };
+        let mut c = Conditions::default();
+        assert!(!c.see(0, &p, &used(90)) && c.see(1, &p, &used(91)));
+        assert!(!c.see(2, &p, &used(80)) && !c.see(3, &p, &used(70)) && !c.see(4, &p, &Seen::default()));
+        assert!(c.see(5, &p, &used(69)) && c.hold().is_empty());
+    }
+
+    #[test]
+    fn hours_may_go_over_midnight() {
+        let p = policy(Condition::Hours { from_min: 22 * 60, to_min: 6 * 60 });
+        let mut c = Conditions::default();
+        let at = |minute| Seen { minute, ..Seen::default() };
+        assert!(!c.see(0, &p, &at(21 * 60 + 59)) && c.see(1, &p, &at(22 * 60)));
+        assert!(!c.see(2, &p, &at(0)) && !c.see(3, &p, &at(359)) && c.see(4, &p, &at(360)));
+    }
+}
--- /dev/null
+++ b/crates/budget/src/policy.rs
@@ -0,0 +1,132 @@
+//! The policy as typed data. Jsonnet is its syntax, and nobody else's.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Conditions at most: each combination of them is checked.
+pub const MOST_CONDITIONS: usize = 8;
+/// Rules at most.
+pub const MOST_RULES: usize = 256;
+
+/// Connections at a group of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// The group's zone; none: all servers that no other group has.
+    pub zone: Option<String>,
+    /// Connections that each of its servers holds from the whole fleet.
+    pub connections: u32,
+    /// A server closes a connection that has been idle for so long, milliseconds: what a stopped gateway held is free
+    /// only after it.
+    pub idle_ms: u64,
+}
+
+/// Whom a rule is for: all that it names must fit, an empty list fits all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Select {
+    /// Tenants by name.
+    pub tenants: BTreeSet<String>,
+    /// Tenants by plan.
+    pub plans: BTreeSet<String>,
+    /// Classes; a class that any rule names has shares of its own.
+    pub classes: BTreeSet<String>,
+    /// Zones of groups.
+    pub zones: BTreeSet<String>,
+}
+
+/// What may be lent of a floor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lend {
+    /// Connections at most.
+    pub up_to: u32,
+    /// Called back, they are there again within this, milliseconds.
+    pub back_ms: u64,
+}
+
+/// What a rule sets; a later rule goes before an earlier one, field by field.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Set {
+    /// Connections at the group that are this holder's whenever it wants them.
+    pub floor: Option<u32>,
+    /// Its weight in what is over floors; 0: nothing of that.
+    pub weight: Option<u32>,
+    /// Connections at most.
+    pub ceiling: Option<u32>,
+    /// When servers are fewer than the floors need, higher numbers give up first.
+    pub give_up: Option<u8>,
+    /// What may be lent of the floor while it is not wanted.
+    pub lend: Option<Lend>,
+}
+
+/// A rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    /// Its name, for people: every share says which rules made it.
+    pub name: String,
+    /// Whom it is for.
+    #[serde(default)]
+    pub select: Select,
+    /// Conditions that must all hold; `!name`: must not.
+    #[serde(default)]
+    pub when: BTreeSet<String>,
+    /// What it sets.
+    pub set: Set,
+}
+
+/// Something that may be so or not. Each has a time to become so and a time to end, so that it cannot flap faster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Condition {
+    /// A zone is dark.
+    ZoneDark {
+        /// Which.
+        zone: String,
+        /// It must be so for this long, milliseconds.
+        for_ms: u64,
+        /// It must be over for this long, milliseconds.
+        over_ms: u64,
+    },
+    /// The keepers cannot be reached from here.
+    KeepersUnreachable {
+        /// It must be so for this long, milliseconds.
+        for_ms: u64,
+        /// It must be over for this long, milliseconds.
+        over_ms: u64,
+    },
+    /// More of a budget is in use than this.
+    UseOver {
+        /// Which budget.
+        budget: String,
+        /// It begins over so many of a hundred...
+        percent: u8,
+        /// ...for this long, milliseconds.
+        for_ms: u64,
+        /// It ends under so many of a hundred...
+        under_percent: u8,
+        /// ...for this long, milliseconds.
+        over_ms: u64,
+    },
+    /// The time of day, UTC, from a minute on and before another; the second may lie on the next day.
+    Hours {
+        /// Minutes from midnight.
+        from_min: u16,
+        /// Minutes from midnight.
+        to_min: u16,
+    },
+}
+
+/// A policy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// Budgets by name.
+    pub budgets: BTreeMap<String, Budget>,
+    /// Conditions by name.
+    pub conditions: BTreeMap<String, Condition>,
+    /// Rules, in order.
+    pub rules: Vec<Rule>,
+}
--- /dev/null
+++ b/crates/budget/tests/plan.rs
@@ -0,0 +1,149 @@
+//! Moves: few, and towards what is wanted.
+
+use frostgauge_budget::{plan, Gateway, Holder, Ledger, Move, Owner, Refused, Slots, Wanted};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn owner(gateway: Gateway) -> Owner {
+    Owner { gateway, holder: Holder { tenant: "vale".into(), class: None } }
+}
+
+fn ledger(servers: u32, each: u32, gateways: u16) -> (Ledger, Vec<String>) {
+    let mut ledger = Ledger::default();
+    let names: Vec<String> = (0..servers).map(|k| format!("s{k}")).collect();
+    names.iter().for_each(|n| ledger.server(n, each));
+    (1..=gateways).for_each(|g| ledger.begin(g, u64::from(g), true));
+    (ledger, names)
+}
+
+fn want(all: &[(Gateway, u32)]) -> BTreeMap<Owner, Wanted> {
+    all.iter().map(|(g, n)| (owner(*g), Wanted { n: *n, ground: 0 })).collect()
+}
+
+fn carry_out(ledger: &mut Ledger, moves: &[Move]) {
+    moves.iter().for_each(|m| m.apply(ledger).expect("a plan fits"));
+}
+
+fn bring_about(ledger: &mut Ledger, names: &[String], wanted: &BTreeMap<Owner, Wanted>) {
+    let moves = plan(ledger, names, wanted, 100);
+    carry_out(ledger, &moves);
+}
+
+fn has(ledger: &Ledger, names: &[String], gateway: Gateway) -> u32 {
+    names.iter().map(|n| ledger.slots(n, &owner(gateway)).to).sum()
+}
+
+#[test]
+fn what_is_free_is_given_over_the_servers_and_then_nothing_moves() {
+    let (mut l, names) = ledger(3, 4, 3);
+    let wanted = want(&[(1, 6), (2, 3), (3, 3)]);
+    bring_about(&mut l, &names, &wanted);
+    assert_eq!([1, 2, 3].map(|g| has(&l, &names, g)), [6, 3, 3]);
+    assert!(names.iter().all(|n| l.slots(n, &owner(1)).to == 2), "spread over the servers");
+    assert_eq!(plan(&l, &names, &wanted, 100), vec![], "at rest nothing changes");
+    // Who wants less keeps it while nobody lacks any.
+    assert_eq!(plan(&l, &names, &want(&[(1, 2), (2, 3), (3, 3)]), 100), vec![]);
+}
+
+#[test]
+fn only_as_many_are_called_back_as_others_lack_and_what_comes_back_goes_on() {
+    let (mut l, names) = ledger(1, 10, 2);
+    bring_about(&mut l, &names, &want(&[(1, 10)]));
+    let wanted = want(&[(1, 2), (2, 3)]);
+    let moves = plan(&l, &names, &wanted, 100);
+    let call = Move::CallBack { server: "s0".into(), owner: owner(1), to: 7 };
+    assert_eq!(moves, [call]);
+    carry_out(&mut l, &moves);
+    assert_eq!(plan(&l, &names, &wanted, 100), vec![], "it is on its way back: no more is called");
+    // Its word frees them, once it knows of the call.
+    let (epoch, _) = l.told(1, 1);
+    l.returned(1, epoch - 1, "s0", &owner(1), 0);
+    assert_eq!(l.free("s0"), 0, "a word from before does not");
+    l.returned(1, epoch, "s0", &owner(1), 8);
+    assert_eq!((l.free("s0"), l.slots("s0", &owner(1))), (2, Slots { held: 8, to: 7, ground: 0 }));
+    l.returned(1, epoch + 1, "s0", &owner(1), 5);
+    bring_about(&mut l, &names, &wanted);
+    assert_eq!((has(&l, &names, 1), has(&l, &names, 2)), (7, 3));
+}
+
+#[test]
+fn a_budget_halved_while_full_gives_nothing_until_enough_is_back() {
+    let (mut l, names) = ledger(1, 8, 2);
+    let wanted = want(&[(1, 4), (2, 4)]);
+    bring_about(&mut l, &names, &wanted);
+    l.server("s0", 4);
+    assert_eq!((l.free("s0"), l.held("s0")), (0, 8));
+    let wanted = want(&[(1, 2), (2, 2)]);
+    bring_about(&mut l, &names, &wanted);
+    assert_eq!([1, 2].map(|g| has(&l, &names, g)), [2, 2]);
+    assert_eq!(l.give("s0", &owner(1), 1, 0), Err(Refused::Full));
+    for g in [1, 2] {
+        let (epoch, _) = l.told(g, u64::from(g));
+        l.returned(u64::from(g), epoch, "s0", &owner(g), 1);
+    }
+    assert_eq!((l.held("s0"), l.free("s0")), (4, 0));
+}
+
+#[test]
+fn a_gateway_that_is_gone_keeps_its_ground_until_its_end_is_shown() {
+    let (mut l, names) = ledger(1, 4, 2);
+    let wanted = [(owner(1), Wanted { n: 4, ground: 1 })].into();
+    bring_about(&mut l, &names, &wanted);
+    l.over(1, false);
+    assert_eq!((l.held("s0"), l.free("s0")), (1, 3));
+    // A new process that cannot show that it is alone gets nothing.
+    l.begin(1, 77, false);
+    assert_eq!(l.told(1, 77).1, vec![]);
+    assert_eq!(l.give("s0", &owner(1), 1, 0), Err(Refused::Haunted));
+    l.begin(1, 77, true);
+    assert_eq!(l.free("s0"), 4);
+    assert_eq!(l.give("s0", &owner(1), 1, 0), Ok(()));
+    assert_eq!(l.told(1, 1).1, vec![], "the one before is told nothing");
+    assert_eq!(l.told(1, 77).1.len(), 1);
+    assert_eq!(l.give("s9", &owner(1), 1, 0), Err(Refused::Unknown));
+    assert_eq!(l.give("s0", &owner(9), 1, 0), Err(Refused::Haunted), "none of it has been heard");
+}
+
+#[test]
+fn a_server_that_closes_is_forgotten_once_all_is_back() {
+    let (mut l, names) = ledger(2, 2, 1);
+    bring_about(&mut l, &names, &want(&[(1, 4)]));
+    l.close("s0");
+    let (epoch, slots) = l.told(1, 1);
+    assert_eq!(slots.iter().map(|(s, _, x)| (s.as_str(), x.to)).collect::<Vec<_>>(), [("s0", 0), ("s1", 2)]);
+    l.returned(1, epoch, "s0", &owner(1), 0);
+    assert_eq!(l.servers().map(|(n, _)| n.to_owned()).collect::<Vec<_>>(), ["s1"]);
+}
+
+proptest! {
+    #[test]
+    fn whatever_is_wanted_a_plan_fits_and_reaches_it(
+        rounds in proptest::collection::vec(proptest::collection::btree_map(1u16..8, 0u32..9, 0..7), 1..12),
+        servers in 1u32..5, each in 0u32..7,
+    ) {
+        let (mut l, names) = ledger(servers, each, 8);
+        for wanted in rounds {
+            let wanted: Vec<(Gateway, u32)> = wanted.into_iter().collect();
+            let wanted = want(&wanted);
+            // All give back at once what is called back: after two rounds what fits is there.
+            for _ in 0..2 {
+                let moves = plan(&l, &names, &wanted, 1_000);
+                carry_out(&mut l, &moves);
+                for g in 1..=8u16 {
+                    for name in &names {
+                        let (epoch, _) = l.told(g, u64::from(g));
+                        l.returned(u64::from(g), epoch, name, &owner(g), 0);
+                    }
+                }
+                prop_assert!(names.iter().all(|n| l.held(n) <= u64::from(each)));
+            }
+            let sum: u32 = wanted.values().map(|w| w.n).sum();
+            if sum <= servers * each {
+                for (o, w) in &wanted {
+                    prop_assert!(has(&l, &names, o.gateway) >= w.n);
+                }
+            }
+            prop_assert_eq!(plan(&l, &names, &wanted, 1_000), vec![]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/budget/tests/sum.rs
@@ -0,0 +1,384 @@
+//! The sum at each server, at every instant: gateways that lose their lease, stop, die and start anew, messages that are
+//! late, lost and overtaken, servers that close idle connections; all drawn from a seed, a millisecond a step. And each
+//! planted fault is found.
+
+use frostgauge_budget::{plan, Epoch, Gateway, Holder, Holdings, Ledger, Owner, Slots, Wanted};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const LEASE: u64 = 300;
+const ATTEMPT: u64 = 200;
+const IDLE: u64 = 500;
+const SERVERS: usize = 3;
+const EACH: u32 = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Plant {
+    /// Slots are given anew once the lease is over, before the server's idle limit.
+    BeforeIdle,
+    /// The lease counts from the answer.
+    FromAnswer,
+    /// A connection closed here counts as closed there.
+    ClosedHere,
+    /// A restarted process is taken to be alone, which is only its word: the one before may be stopped.
+    Alone,
+    /// A gateway's late word counts as if it were of now.
+    LateWord,
+}
+
+/// A connection as the two sides see it.
+struct Connection {
+    gateway: Gateway,
+    life: u64,
+    server: usize,
+    holder: Holder,
+    /// Stands at the server from then on.
+    stands: u64,
+    /// The request on it is answered then.
+    busy: u64,
+    /// Something last came to the server.
+    last: u64,
+    /// The gateway has closed it: the server sees that then.
+    fin: Option<u64>,
+    /// It is gone at the server; the gateway hears of it then.
+    gone: Option<u64>,
+}
+
+enum Said {
+    Ask { from: Gateway, life: u64, sent: u64, report: (Epoch, Vec<(String, Holder, u32)>) },
+    Tell { to: Gateway, life: u64, asked: u64, epoch: Epoch, slots: Vec<(String, Holder, Slots)> },
+}
+
+struct Process {
+    life: u64,
+    holdings: Holdings,
+    stopped: bool,
+    /// The one that runs; earlier ones may be stopped and not yet dead.
+    current: bool,
+}
+
+struct Sim {
+    now: u64,
+    rng: ChaCha8Rng,
+    plant: Option<Plant>,
+    ledger: Ledger,
+    processes: BTreeMap<Gateway, Vec<Process>>,
+    connections: Vec<Connection>,
+    mail: Vec<(u64, Said)>,
+    granted: BTreeMap<Gateway, u64>,
+    wanted: BTreeMap<Owner, Wanted>,
+    cut: BTreeMap<Gateway, u64>,
+    opened: u64,
+    worst_over: u32,
+    next_life: u64,
+}
+
+fn name(k: usize) -> String {
+    format!("s{k}")
+}
+
+fn holder(k: u64) -> Holder {
+    Holder { tenant: format!("t{k}"), class: None }
+}
+
+impl Sim {
+    fn new(seed: u64, gateways: u16, plant: Option<Plant>) -> Sim {
+        let mut ledger = Ledger::default();
+        (0..SERVERS).for_each(|k| ledger.server(&name(k), EACH));
+        let mut sim = Sim {
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            plant,
+            ledger,
+            processes: BTreeMap::new(),
+            connections: vec![],
+            mail: vec![],
+            granted: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            opened: 0,
+            worst_over: 0,
+            next_life: 1,
+        };
+        (1..=gateways).for_each(|g| sim.start(g));
+        sim
+    }
+
+    fn start(&mut self, gateway: Gateway) {
+        let life = self.next_life;
+        self.next_life += 1;
+        let all = self.processes.entry(gateway).or_default();
+        all.iter_mut().for_each(|p| p.current = false);
+        all.push(Process { life, holdings: Holdings::default(), stopped: false, current: true });
+    }
+
+    fn chance(&mut self, of_thousand: u32) -> bool {
+        self.rng.random_range(0..1_000) < of_thousand
+    }
+
+    fn send(&mut self, said: Said) {
+        let gateway = match &said {
+            Said::Ask { from, .. } => *from,
+            Said::Tell { to, .. } => *to,
+        };
+        if self.cut.get(&gateway).is_some_and(|until| self.now < *until) || self.chance(50) {
+            return;
+        }
+        let late = [10, 10, 10, 10, 10, 10, 10, 280, 280, 1_500][self.rng.random_range(0..10)];
+        let at = self.now + self.rng.random_range(1..=late);
+        self.mail.push((at, said));
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        self.troubles();
+        self.deliver();
+        self.servers();
+        for gateway in self.processes.keys().copied().collect::<Vec<_>>() {
+            self.gateway(gateway);
+        }
+        if self.now.is_multiple_of(20) {
+            self.keeper();
+        }
+        for k in 0..SERVERS {
+            let standing = |c: &&Connection| c.server == k && c.stands <= self.now && c.gone.is_none();
+            let open = self.connections.iter().filter(standing).count() as u32;
+            self.worst_over = self.worst_over.max(open.saturating_sub(EACH));
+        }
+        assert!(self.ledger.fits());
+    }
+
+    fn troubles(&mut self) {
+        let gateways = self.processes.len() as u16;
+        let one = self.rng.random_range(1..=gateways);
+        if self.chance(4) {
+            let until = self.now + self.rng.random_range(50..2_000);
+            self.cut.insert(one, until);
+        }
+        let (stops, goes_on) = (self.chance(4), self.chance(12));
+        let all = self.processes.get_mut(&one).expect("there");
+        all.iter_mut()
+            .filter(|p| p.current && if p.stopped { goes_on } else { stops })
+            .for_each(|p| p.stopped = !p.stopped);
+        if self.now.is_multiple_of(3) && self.chance(1) {
+            // Killed, or left stopped while a new one starts beside it.
+            let killed = self.chance(500);
+            if killed {
+                self.kill(one, |_| true);
+            } else {
+                let all = self.processes.get_mut(&one).expect("there");
+                all.iter_mut().for_each(|p| p.stopped = true);
+            }
+            self.start(one);
+        }
+        // Earlier ones are found and killed in the end.
+        if self.chance(2) {
+            self.kill(one, |p| !p.current);
+        }
+        // A stopped process that is not the current one goes on for a moment now and then.
+        if self.chance(5) {
+            let all = self.processes.get_mut(&one).expect("there");
+            all.iter_mut().filter(|p| !p.current).for_each(|p| p.stopped = !p.stopped);
+        }
+    }
+
+    /// Processes end, and with them their connections.
+    fn kill(&mut self, gateway: Gateway, which: impl Fn(&Process) -> bool) {
+        let now = self.now;
+        let all = self.processes.get_mut(&gateway).expect("there");
+        let lives: Vec<u64> = all.iter().filter(|p| which(p)).map(|p| p.life).collect();
+        all.retain(|p| !lives.contains(&p.life));
+        let theirs = self.connections.iter_mut().filter(|c| lives.contains(&c.life));
+        theirs.for_each(|c| c.gone = c.gone.or(Some(now)));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.mail.drain(..).partition(|(at, _)| *at <= now);
+        self.mail = later;
+        for (_, said) in due {
+            match said {
+                Said::Ask { from, life, sent, report } => self.asked(from, life, sent, report),
+                Said::Tell { to, life, asked, epoch, slots } => {
+                    let plant = self.plant;
+                    let all = self.processes.get_mut(&to).expect("there");
+                    for p in all.iter_mut().filter(|p| p.life == life && !p.stopped) {
+                        let from = if plant == Some(Plant::FromAnswer) { now } else { asked };
+                        p.holdings.told(epoch, slots.clone(), from + LEASE);
+                    }
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, from: Gateway, life: u64, sent: u64, report: (Epoch, Vec<(String, Holder, u32)>)) {
+        // The newest process is the gateway; whether it is alone shows in its lock, here in the truth.
+        if self.processes[&from].last().is_none_or(|p| p.life != life) {
+            return;
+        }
+        let alone = self.processes[&from].len() == 1 || self.plant == Some(Plant::Alone);
+        self.ledger.begin(from, life, alone);
+        let (epoch, words) = report;
+        for (server, holder, open) in words {
+            let seen = if self.plant == Some(Plant::LateWord) { Epoch::MAX } else { epoch };
+            self.ledger.returned(life, seen, &server, &Owner { gateway: from, holder }, open);
+        }
+        self.granted.insert(from, self.now);
+        let (epoch, slots) = self.ledger.told(from, life);
+        self.send(Said::Tell { to: from, life, asked: sent, epoch, slots });
+    }
+
+    fn keeper(&mut self) {
+        // Turned over all the time: who wants what changes at one stroke.
+        if self.now.is_multiple_of(400) || self.wanted.is_empty() {
+            let gateways: Vec<Gateway> = self.processes.keys().copied().collect();
+            self.wanted.clear();
+            let mut left = EACH * SERVERS as u32;
+            while left > 0 {
+                let (g, t) = (self.rng.random_range(0..gateways.len()), self.rng.random_range(0..3));
+                let owner = Owner { gateway: gateways[g], holder: holder(t) };
+                let w = self.wanted.entry(owner).or_default();
+                let n = self.rng.random_range(1..=3.min(left));
+                (w.n, w.ground) = (w.n + n, u32::from(t == 0));
+                left -= n;
+            }
+        }
+        // A gateway that was told nothing for so long: what it could do with its slots is over.
+        let idle = if self.plant == Some(Plant::BeforeIdle) { 0 } else { ATTEMPT + IDLE };
+        for gateway in self.processes.keys().copied().collect::<Vec<_>>() {
+            // What came with the last answer may be used for a lease from its question, which was before.
+            let last = self.granted.get(&gateway).copied().unwrap_or(0);
+            if self.now > last + LEASE + idle + 20 {
+                self.ledger.over(gateway, false);
+            }
+        }
+        let servers: Vec<String> = (0..SERVERS).map(name).collect();
+        for change in plan(&self.ledger, &servers, &self.wanted, 8) {
+            let _ = change.apply(&mut self.ledger);
+        }
+    }
+
+    fn servers(&mut self) {
+        let now = self.now;
+        for c in self.connections.iter_mut().filter(|c| c.gone.is_none()) {
+            // A request in hand keeps it open; an idle one is closed by the limit.
+            let idle = now > c.last.max(c.busy) + IDLE;
+            if c.fin.is_some_and(|at| at <= now) || idle {
+                c.gone = Some(now + 2);
+            }
+        }
+    }
+
+    fn gateway(&mut self, gateway: Gateway) {
+        let now = self.now;
+        for k in 0..self.processes[&gateway].len() {
+            let p = &self.processes[&gateway][k];
+            if p.stopped {
+                continue;
+            }
+            let life = p.life;
+            // What the server has closed is heard of.
+            let mut heard = vec![];
+            self.connections.retain(|c| {
+                let over = c.life == life && c.gone.is_some_and(|at| at <= now);
+                if over {
+                    heard.push((c.server, c.holder.clone()));
+                }
+                !over
+            });
+            let closed_here = self.plant == Some(Plant::ClosedHere);
+            let p = &mut self.processes.get_mut(&gateway).expect("there")[k];
+            heard.iter().for_each(|(server, holder)| p.holdings.closed(&name(*server), holder));
+            // What is too much is closed: idle ones at once, busy ones when they are done.
+            for (server, holder, mut n) in p.holdings.excess(now) {
+                let these = self.connections.iter_mut().filter(|c| {
+                    c.life == life
+                        && name(c.server) == server
+                        && c.holder == holder
+                        && c.fin.is_none()
+                        && c.gone.is_none()
+                });
+                for c in these.filter(|c| c.busy <= now) {
+                    if n == 0 {
+                        break;
+                    }
+                    n -= 1;
+                    c.fin = Some(now.max(c.stands) + 30);
+                    if closed_here {
+                        p.holdings.closed(&server, &holder);
+                    }
+                }
+            }
+            // Work: a new connection, or a request on an idle one.
+            if self.chance(300) {
+                let (server, t) = (self.rng.random_range(0..SERVERS), holder(self.rng.random_range(0..3)));
+                let took = self.rng.random_range(5..ATTEMPT);
+                let way = self.rng.random_range(1..15);
+                let may = self.processes[&gateway][k].holdings.most(now, &name(server), &t) > 0;
+                let idle = self.connections.iter_mut().find(|c| {
+                    c.life == life
+                        && c.server == server
+                        && c.holder == t
+                        && c.busy < now
+                        && c.fin.is_none()
+                        && c.gone.is_none()
+                });
+                match idle {
+                    Some(c) if may => (c.busy, c.last) = (now + took, now),
+                    Some(_) => {}
+                    None => {
+                        let p = &mut self.processes.get_mut(&gateway).expect("there")[k];
+                        if p.holdings.open(now, &name(server), &t) {
+                            self.opened += 1;
+                            let (stands, busy) = (now + way, now + took.max(way));
+                            let (fin, gone, holder) = (None, None, t);
+                            let c = Connection {
+                                gateway,
+                                life,
+                                server,
+                                holder,
+                                stands,
+                                busy,
+                                last: stands,
+                                fin,
+                                gone,
+                            };
+                            self.connections.push(c);
+                        }
+                    }
+                }
+            }
+            let p = &self.processes[&gateway][k];
+            if p.current && (now + u64::from(gateway) * 7).is_multiple_of(60) {
+                let report = p.holdings.report();
+                self.send(Said::Ask { from: gateway, life, sent: now, report });
+            }
+        }
+        debug_assert!(self.connections.iter().all(|c| c.gateway > 0));
+    }
+}
+
+fn play(seed: u64, plant: Option<Plant>) -> (u32, u64) {
+    let mut sim = Sim::new(seed, 4 + (seed % 4) as u16, plant);
+    (0..15_000).for_each(|_| sim.step());
+    (sim.worst_over, sim.opened)
+}
+
+#[test]
+fn the_sum_at_each_server_fits_at_every_instant() {
+    let mut opened = 0;
+    for seed in 0..60 {
+        let (over, some) = play(seed, None);
+        assert_eq!(over, 0, "seed {seed}");
+        opened += some;
+    }
+    assert!(opened > 60 * 50, "and slots are used: {opened}");
+}
+
+#[test]
+fn each_planted_fault_is_found() {
+    for plant in [Plant::BeforeIdle, Plant::FromAnswer, Plant::ClosedHere, Plant::Alone, Plant::LateWord] {
+        assert!((0..60).any(|seed| play(seed, Some(plant)).0 > 0), "{plant:?} is not found");
+    }
+}
