--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -21,6 +21,8 @@
 const WAITING: usize = 256;
 /// Something proposed and not seen in the log is proposed again after so many ticks.
 const AGAIN_TICKS: u64 = 10;
+/// A keeper that hears a majority, and yet takes part in no leader's log for so many ticks, stands for leader itself.
+const ALONE_TICKS: u64 = 3 * AGAIN_TICKS;
 /// Ticks without a leader's word before another may be chosen.
 const ELECTION_TICKS: u64 = 4;
 /// Gateways named in one entry, most.
@@ -51,6 +53,8 @@
     keepers: Vec<Gateway>,
     /// Since which tick it and its leader have not known the same, and how far it then knew the log to be decided.
     waits_since: Option<(u64, u64)>,
+    /// Since which tick it takes part in no leader's log.
+    apart_since: Option<u64>,
 }
 
 /// A keeper.
@@ -79,6 +83,8 @@
     told: BTreeMap<Gateway, u64>,
     /// The last message of the consensus's from each keeper, and how many were sent.
     heard: BTreeMap<Gateway, (u64, u64)>,
+    /// At which tick each was last heard.
+    heard_at: BTreeMap<Gateway, u64>,
     said: u64,
     lost: BTreeMap<Gateway, u64>,
     wanted: Option<BTreeSet<Gateway>>,
@@ -160,6 +166,7 @@
             trying: None,
             told: BTreeMap::new(),
             heard: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
             said: 0,
             lost: BTreeMap::new(),
             wanted: None,
@@ -183,6 +190,7 @@
         (self.made_clear, self.trying, self.binds) = (None, None, None);
         // A keeper let in with an empty disk counts its starts anew.
         self.heard.clear();
+        self.heard_at.clear();
         self.made.clear();
         let keepers: Vec<Gateway> = base.keepers.iter().copied().collect();
         let Some(pid) = keepers.iter().position(|k| *k == self.me) else { return Ok(()) };
@@ -196,7 +204,7 @@
             },
         };
         let omni = config.build(self.disk.mirror()).map_err(|e| format!("accord.keepers: {e}"))?;
-        self.seat = Some(Seat { omni, applied: 0, keepers, waits_since: None });
+        self.seat = Some(Seat { omni, applied: 0, keepers, waits_since: None, apart_since: None });
         Ok(())
     }
 
@@ -256,7 +264,10 @@
                 let last = self.heard.insert(from, order).filter(|last| *last >= order);
                 match last {
                     Some(last) => drop(self.heard.insert(from, last)),
-                    None => self.paxos(from, config, far, *message)?,
+                    None => {
+                        self.heard_at.insert(from, self.ticks);
+                        self.paxos(from, config, far, *message)?;
+                    }
                 }
             }
             Message::Behind { config } if config < self.config => self.install(from),
@@ -291,6 +302,7 @@
         self.ticks += 1;
         if let Some(seat) = &mut self.seat {
             seat.omni.tick();
+            stand(seat, &self.heard_at, self.ticks);
         } else if self.config == 0 && self.ticks % INSTALL_TICKS == 1 {
             for peer in self.peers.iter().filter(|p| **p != self.me) {
                 self.out.push((*peer, Message::Lost { nonce: self.nonce }));
@@ -637,6 +649,24 @@
     }
 }
 
+/// A keeper that promised itself, or another, to a round that nobody else heard of (all were killed just then) is not
+/// taken into a lower round, and the others, content with their leader, hold no election: the library leaves it out for
+/// ever (seed 3001204 of the search at 9 gateways, before this). It stands for leader, in a round above its promise.
+fn stand(seat: &mut Seat, heard_at: &BTreeMap<Gateway, u64>, ticks: u64) {
+    let part = seat.omni.get_current_leader().is_some_and(|(_, accepts)| accepts);
+    let lately = heard_at.values().filter(|at| ticks < **at + AGAIN_TICKS).count();
+    if part || (lately + 1) * 2 <= seat.keepers.len() {
+        seat.apart_since = None;
+        return;
+    }
+    // Not all at one stroke: they would outbid each other.
+    let patience = ALONE_TICKS + 4 * seat.omni.get_pid();
+    if ticks >= *seat.apart_since.get_or_insert(ticks) + patience {
+        seat.apart_since = None;
+        seat.omni.try_become_leader();
+    }
+}
+
 fn cluster(config: u32, keepers: usize) -> ClusterConfig {
     ClusterConfig { configuration_id: config, nodes: (1..=keepers as u64).collect(), flexible_quorum: None }
 }
--- a/crates/accord/src/machine.rs
+++ b/crates/accord/src/machine.rs
@@ -287,12 +287,16 @@
     /// Whether acting under these would contradict a version that comes into force.
     pub fn conflicts(&self, gateway: Gateway, set: &BTreeSet<Number>, next: Number) -> bool {
         let Some(law) = self.versions.get(&next) else { return true };
-        let some = set.iter().map(|n| self.versions.get(n)).collect::<Option<Vec<_>>>();
-        match some.as_deref() {
-            None => true,
+        // Of several, one that is no more kept makes what all allow only less: those that are kept decide. (Taken for a
+        // conflict, it made each third version in a row wait for leases to run out: 1.6 s in place of 0.2.)
+        let kept: Vec<&Version> = set.iter().filter_map(|n| self.versions.get(n)).collect();
+        match &kept[..] {
+            [] => true,
             // Under a single version, what that forbids and the new one allows is a contradiction as well.
-            Some([only]) => only.number != next && !contradicts(&only.rules, &law.rules).is_empty(),
-            Some(all) => {
+            [only] if set.len() == 1 => {
+                only.number != next && !contradicts(&only.rules, &law.rules).is_empty()
+            }
+            all => {
                 if !all.iter().all(|v| v.rules.gateways.contains(&gateway)) {
                     return false;
                 }
--- /dev/null
+++ b/crates/fleet/benches/guard.rs
@@ -0,0 +1,51 @@
+//! What the fleet's rules add to an attempt: a look at its coming in, and the last one before its bytes go.
+
+use criterion::{criterion_group, criterion_main, Criterion};
+use frostgauge_accord::{meet_all, Class, Plan, Rules, Server, State, Tenant, Version, FORMAT};
+use frostgauge_fleet::{Allows, Guard, Leased, View};
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn rules(servers: u16, tenants: u32) -> Rules {
+    let class = Class { cost_milli: 1, repeatable: true, ground: true };
+    let server = |k: u16| {
+        let address = SocketAddr::from(([10, 0, (k >> 8) as u8, k as u8], 80)).to_string();
+        (format!("s{k}"), Server { address, state: State::Ready, zone: String::new() })
+    };
+    let tenant = |k: u32| {
+        let classes = ["read".to_owned()].into();
+        (format!("t{k}"), Tenant { plan: "p".into(), classes, floor_milli: 0 })
+    };
+    Rules {
+        format: FORMAT,
+        classes: [("read".into(), class)].into(),
+        plans: [("p".into(), Plan { rate_milli: u64::MAX >> 20, ceiling_milli: None })].into(),
+        tenants: (0..tenants).map(tenant).collect(),
+        servers: (0..servers).map(server).collect(),
+        gateways: [1].into(),
+    }
+}
+
+fn looks(c: &mut Criterion) {
+    for (servers, tenants) in [(14, 40), (400, 400), (1_024, 5_000)] {
+        let rules = rules(servers, tenants);
+        let (author, reason) = (String::new(), String::new());
+        let version = Version { number: 1, before: [0; 32], author, reason, time_ms: 0, rules };
+        let allows = Arc::new(Allows::new(meet_all(1, [&version]), Some(&version.rules)));
+        let lease = Leased { versions: [1].into(), until: u64::MAX, allows };
+        let mut guard = Guard::new(1_000_000);
+        guard.put(Arc::new(View { lease: Some(lease), ..View::default() }));
+        let (mut now, at) = (0, SocketAddr::from(([10, 0, 0, 7], 80)));
+        c.bench_function(&format!("admit and last look, {servers} servers, {tenants} tenants"), |b| {
+            b.iter(|| {
+                now += 1_000;
+                let admitted = guard.admit(now, black_box("t17"), "read").is_ok();
+                admitted && guard.last_look(now, black_box("t17"), "read", at).is_ok()
+            });
+        });
+    }
+}
+
+criterion_group!(benches, looks);
+criterion_main!(benches);
--- a/crates/fleet/src/checks.rs
+++ b/crates/fleet/src/checks.rs
@@ -39,7 +39,8 @@
     between: u64,
     turned_back: u64,
     by_gateway: BTreeMap<Gateway, u64>,
-    parts: BTreeMap<Gateway, (Micros, BTreeMap<String, u64>)>,
+    /// What each last might let through, when, and the newest version that it went by.
+    parts: BTreeMap<Gateway, (Micros, BTreeMap<String, u64>, Number)>,
     sums: BTreeMap<String, u64>,
     over: BTreeMap<String, Micros>,
     told: BTreeMap<u64, Outcome>,
@@ -264,27 +265,41 @@
             })
     }
 
-    /// What a gateway may let through a second for each tenant now: parts of all gateways stay within the sum.
+    /// What a gateway may let through a second for each tenant now, under versions of which `newest` is the last:
+    /// parts of all gateways stay within the sum.
     pub(crate) fn parts<'a>(
         &mut self,
         at: Micros,
         who: Gateway,
+        newest: Number,
         parts: impl Iterator<Item = (&'a str, u64)>,
     ) {
         let new: BTreeMap<String, u64> = parts.map(|(t, p)| (t.to_owned(), p)).collect();
-        let (_, old) = self.parts.insert(who, (at, new.clone())).unwrap_or_default();
+        let (_, old, _) = self.parts.insert(who, (at, new.clone(), newest)).unwrap_or_default();
         for (tenant, part) in &old {
             *self.sums.entry(tenant.clone()).or_default() -= part;
         }
         for (tenant, part) in &new {
             *self.sums.entry(tenant.clone()).or_default() += part;
         }
-        let Some(rules) = self.rules.get(&self.law.0) else { return };
+        // Of the canary part, some may go by a version that nobody acts under alone yet, since a keeper that lags still
+        // names an old one beside it: what all do is then within that version's sum. One who acts under it before the
+        // others have left the one before is found by the acts themselves.
+        let live = self.parts.values().filter(|(seen, _, _)| at - seen < 1_000_000).map(|(_, _, n)| *n);
+        let mut laws: Vec<&Rules> = vec![];
+        laws.extend(self.rules.get(&self.law.0));
+        laws.extend(live.max().filter(|n| *n > self.law.0).and_then(|n| self.rules.get(&n)));
+        if laws.is_empty() {
+            return;
+        }
         let mut told = vec![];
         let tenants: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
         for tenant in tenants {
-            let most = rules.tenants.get(tenant).and_then(|t| rules.plans.get(&t.plan));
-            let most = most.map_or(0, |p| p.ceiling_milli.unwrap_or(p.rate_milli));
+            let sum_of = |rules: &&Rules| {
+                let plan = rules.tenants.get(tenant).and_then(|t| rules.plans.get(&t.plan));
+                plan.map_or(0, |p| p.ceiling_milli.unwrap_or(p.rate_milli))
+            };
+            let most = laws.iter().map(sum_of).max().unwrap_or(0);
             let sum = self.sums.get(tenant).copied().unwrap_or(0);
             if sum <= most {
                 self.over.remove(tenant);
@@ -295,8 +310,8 @@
             let live: u64 = self
                 .parts
                 .values()
-                .filter(|(seen, _)| at - seen < 1_000_000)
-                .filter_map(|(_, p)| p.get(tenant))
+                .filter(|(seen, _, _)| at - seen < 1_000_000)
+                .filter_map(|(_, p, _)| p.get(tenant))
                 .sum();
             if live > most && at - since > self.within {
                 told.push(format!("parts of {tenant} add up to {live}, over {most}"));
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -657,7 +657,12 @@
             })
             .collect();
         let servers: Vec<String> = allowance.servers.keys().cloned().collect();
-        self.checks.parts(self.now, who, parts.iter().map(|(name, sum, _)| (name.as_str(), *sum)));
+        let newest = match &under {
+            Under::Lease(set, _) => set.last().copied(),
+            Under::Ground(number) => *number,
+        };
+        let newest = newest.unwrap_or(0);
+        self.checks.parts(self.now, who, newest, parts.iter().map(|(name, sum, _)| (name.as_str(), *sum)));
         if let Under::Lease(set, _) = &under {
             if let Some(version) = set.last().filter(|_| set.len() == 1) {
                 let well = m.fails_under != Some(*version);
--- a/crates/fleet/tests/accord.rs
+++ b/crates/fleet/tests/accord.rs
@@ -647,3 +647,128 @@
     assert_eq!((checks.on_ground(), checks.between()), (before, 0));
     story.the_end();
 }
+
+#[test]
+fn a_gateway_joins_and_every_part_gets_smaller_without_a_moment_over_the_sum() {
+    given(fleet_of_7())
+        .when_published(|r| assert!(r.gateways.insert(8)))
+        .after(4.0)
+        .then_numbered(2)
+        .then_all_are_under(2)
+        .then_no_one_contradicts_for_a_moment()
+        .the_end();
+}
+
+#[test]
+fn a_gateway_leaves_only_after_its_process_has_ended_and_the_others_take_its_part() {
+    let leaves = |r: &mut Rules| assert!(r.gateways.remove(&7));
+    given(fleet_of_7())
+        .when_published(leaves)
+        .after(2.0)
+        .then_told(
+            |o| matches!(o, Outcome::BreaksGround { places, .. } if places.iter().any(|p| p.path == "gateways.7")),
+        )
+        .when_killed(&[7])
+        .when_operator_says(Message::Retire { gateway: 7 })
+        .after(1.0)
+        .when_published(leaves)
+        .after(4.0)
+        .then_numbered(2)
+        .then_is_under(6, 2)
+        .the_end();
+}
+
+#[test]
+fn a_server_that_vanishes_from_the_list_must_have_drained_first() {
+    let gone = |r: &mut Rules| drop(r.servers.remove("s3"));
+    let drained = |r: &mut Rules| r.servers.get_mut("s3").expect("the server").state = State::Draining;
+    given(fleet_of_7())
+        .when_published(gone)
+        .after(2.0)
+        .then_told(
+            |o| matches!(o, Outcome::BreaksGround { of: 1, places, .. } if places[0].path == "servers.s3"),
+        )
+        .when(|w| w.drain("s3", true))
+        .when_published(drained)
+        .after(4.0)
+        .then_numbered(2)
+        .when_published(gone)
+        .after(4.0)
+        .then_numbered(3)
+        .then_all_are_under(3)
+        .the_end();
+}
+
+#[test]
+fn two_keepers_that_hear_only_each_other_and_one_alone_agree_on_one_record() {
+    given(fleet_of_7())
+        .when_cut_off(&[1])
+        .when_published(less)
+        .after(5.0)
+        .then_numbered(2)
+        .when_mended()
+        .when_cut_off(&[2])
+        .when_published(less)
+        .after(5.0)
+        .then_numbered(3)
+        .when_mended()
+        .after(4.0)
+        .then_all_are_under(3)
+        .then_nothing_told_is_lost()
+        .then_no_one_contradicts_for_a_moment()
+        .the_end();
+}
+
+#[test]
+fn a_leader_killed_in_the_moment_of_publishing_loses_nothing_that_was_told() {
+    for after in [0.0, 0.002, 0.005, 0.01, 0.03] {
+        let story = given(fleet_of_7());
+        let leader = story.leader();
+        let editor = if leader == 3 { 2 } else { 3 };
+        story
+            .when_the_editor_moves_to(editor)
+            .when_published(less)
+            .after(after)
+            .when_power_is_lost(&[leader])
+            .after(6.0)
+            .then_numbered(2)
+            .when_started(&[leader])
+            .after(4.0)
+            .then_all_are_under(2)
+            .then_nothing_told_is_lost()
+            .the_end();
+    }
+}
+
+#[test]
+fn all_lose_their_power_at_once_and_come_back_to_what_was_told() {
+    let all: Vec<u16> = (1..=7).collect();
+    given(fleet_of_7())
+        .when_published(less)
+        .after(3.0)
+        .then_numbered(2)
+        .when_power_is_lost(&all)
+        .after(1.0)
+        .when_started(&all)
+        .after(6.0)
+        .then_all_are_under(2)
+        .then_nothing_told_is_lost()
+        .then_no_one_contradicts_for_a_moment()
+        .the_end();
+}
+
+#[test]
+fn a_gateway_stopped_for_a_minute_wakes_under_nothing_old() {
+    given(fleet_of_7())
+        .when_paused(&[6])
+        .when_published(less)
+        .after(30.0)
+        .when_published(less)
+        .after(30.0)
+        .then_numbered(3)
+        .when_resumed(&[6])
+        .then_no_one_contradicts_for_a_moment()
+        .after(3.0)
+        .then_all_are_under(3)
+        .the_end();
+}
--- a/crates/fleet/tests/search.rs
+++ b/crates/fleet/tests/search.rs
@@ -46,3 +46,46 @@
     assert!(short.faults.len() < schedule.faults.len(), "{short:?}");
     assert!(short.faults.iter().any(|(_, f)| matches!(f, Fault::Publish(..))), "{short:?}");
 }
+
+/// Schedules that the search found and made short, with what they found.
+#[test]
+fn what_the_search_found_stays_mended() {
+    use Fault::*;
+    let found = [
+        // A keeper that had promised itself to a round of which nobody else heard was left out for ever.
+        Schedule {
+            seed: 3_001_204,
+            gateways: 9,
+            keepers: 3,
+            faults: vec![
+                (2.2669021114350585, Dawdle(1, 0.15539105641708917)),
+                (4.393238129454087, Kill(3, 0.5608036875393205, true)),
+                (6.831818228892779, Pause(3, 4.283989792861331)),
+                (7.419634998888487, Split(vec![3, 4, 6, 7, 9], 4.236401867090504)),
+                (8.916471365534386, Publish(2, 5)),
+                (9.264839935495035, OneWay(2, 5, 3.317449979239593)),
+                (9.633805306201563, Publish(8, 4)),
+                (10.065585721183918, Weather(133, 116, 312, 7.551343330804597)),
+                (16.55460439831753, Kill(1, 3.5967333146873015, false)),
+                (16.8217451117366, Keepers(0.18038588642445164)),
+                (17.201793053363822, Publish(1, 5)),
+            ],
+        },
+        // The judge took what one of the canary part let through, under a version next to an old one, for too much.
+        Schedule {
+            seed: 2_003_925,
+            gateways: 7,
+            keepers: 3,
+            faults: vec![
+                (2.10767673758662, OneWay(3, 2, 6.679442117095624)),
+                (3.377303510842533, Publish(1, 0)),
+                (3.48724254413161, Publish(6, 2)),
+                (3.4997233006768713, Publish(4, 5)),
+            ],
+        },
+    ];
+    for schedule in found {
+        let outcomes = play(&schedule, None);
+        assert!(outcomes.kept(), "seed {}: {outcomes:?}", schedule.seed);
+    }
+}
