Example of a fleet, operators' page of agreed versions, where they stand in the gateway

Need: part 1 is in the gateway; people need to set it up, look at it, publish and take back. Change: docs/accord.md with the pieces in a gateway, bounds and operating; examples/fleet, which a test founds.

--- a/crates/frostgauged/tests/agreed.rs
+++ b/crates/frostgauged/tests/agreed.rs
@@ -83,6 +83,27 @@
     refused(&folder, &other, Some(&rules), "accord: is missing");
 }
 
+#[test]
+fn the_example_of_a_fleet_is_sound_and_can_be_founded() {
+    let (folder, ..) = files();
+    write(&folder.join("fleet.secret"), "not-a-real-secret");
+    write(&folder.join("client.secret"), "not-a-real-secret");
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet");
+    for entry in std::fs::read_dir(&example).expect("the example").filter_map(Result::ok) {
+        std::fs::copy(entry.path(), folder.join(entry.file_name())).expect("copied");
+    }
+    for k in 0..3 {
+        let out = Command::new(env!("CARGO_BIN_EXE_frostgauged"))
+            .arg("--config")
+            .arg(folder.join(format!("gateway-{k}.jsonnet")))
+            .arg("--found")
+            .arg(folder.join("rules.jsonnet"))
+            .output()
+            .expect("it runs");
+        assert_eq!(out.status.code(), Some(0), "{k}: {}", String::from_utf8_lossy(&out.stderr));
+    }
+}
+
 #[test]
 fn a_bad_section_or_a_damaged_folder_keeps_a_gateway_from_starting() {
     let (folder, settings, rules) = files();
--- /dev/null
+++ b/examples/fleet/gateway-0.jsonnet
@@ -0,0 +1,1 @@
+(import 'gateway.libsonnet')(0)
