A release over agreed rules: gateways end in turn while nodes are replaced and the list moves

Need: the hard case of a rolling SIGTERM with replaced servers and a moved list in one, with processes. A lock held over a node's start made the first run stand still; it is looked at before.

--- a/crates/rig/src/agreed.rs
+++ b/crates/rig/src/agreed.rs
@@ -51,6 +51,10 @@
     Drain(usize),
     /// A node that drained is back.
     Back(usize),
+    /// A node drains as above, and a new one, cold, takes its place in the record and in the list.
+    Replace(usize),
+    /// A node that drained goes from the record, and ends.
+    Gone(usize),
     /// A tenant is gone from the record, by its index; two versions, the first without its floor.
     TenantOff(usize),
     /// It is back.
@@ -198,7 +202,7 @@
         let value: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
         let base = value["version"].as_u64().ok_or("a version without its number")?;
         let mut rules: Rules = serde_json::from_value(value["rules"].clone()).map_err(|e| e.to_string())?;
-        let last = self.change(&mut rules, change).await;
+        let last = self.change(&mut rules, change).await?;
         let mut body =
             json!({ "base": base, "author": "the script", "reason": format!("{change:?}"), "rules": rules });
         let id: u64 = rand::random();
@@ -224,7 +228,7 @@
     }
 
     /// Changes rules; false: this is a first step, and the change has to be asked for again.
-    async fn change(&self, rules: &mut Rules, change: &Change) -> bool {
+    async fn change(&self, rules: &mut Rules, change: &Change) -> Result<bool, String> {
         let first = self.first_rules();
         match change {
             Change::Sums(plan, times) => {
@@ -249,12 +253,42 @@
                 let node = rules.servers.get_mut(&Fleet::node_name(*k));
                 node.into_iter().for_each(|s| s.state = State::Ready);
             }
+            Change::Replace(k) => {
+                // Looked at first: starting a node takes the same lock.
+                let known = self.state().replaced.get(k).copied();
+                let new = match known {
+                    Some(new) => new,
+                    None => {
+                        let new = self.add_node(*k, true)?;
+                        self.state().replaced.insert(*k, new);
+                        new
+                    }
+                };
+                let (address, zone) = {
+                    let mut s = self.state();
+                    s.nodes[*k].listed = crate::fleet::Listed::Draining;
+                    (s.nodes[new].address.to_string(), s.nodes[new].zone.clone())
+                };
+                self.publish();
+                let draining =
+                    frostgauge_standins::node::Control { draining: Some(true), ..Default::default() };
+                self.control_node(*k, &draining).await;
+                let node = rules.servers.get_mut(&Fleet::node_name(*k));
+                node.into_iter().for_each(|s| s.state = State::Draining);
+                rules.servers.insert(Fleet::node_name(new), Server { address, state: State::Ready, zone });
+            }
+            Change::Gone(k) => {
+                rules.servers.remove(&Fleet::node_name(*k));
+                self.state().nodes[*k].listed = crate::fleet::Listed::Absent;
+                self.publish();
+                self.kill_node(*k);
+            }
             Change::TenantOff(k) => {
-                let Some((name, tenant)) = first.tenants.iter().nth(*k) else { return true };
+                let Some((name, tenant)) = first.tenants.iter().nth(*k) else { return Ok(true) };
                 match rules.tenants.get_mut(name) {
                     Some(t) if t.floor_milli > 0 => {
                         t.floor_milli = 0;
-                        return tenant.floor_milli == 0;
+                        return Ok(tenant.floor_milli == 0);
                     }
                     _ => drop(rules.tenants.remove(name)),
                 }
@@ -265,7 +299,7 @@
                 }
             }
         }
-        true
+        Ok(true)
     }
 
     /// All versions of the record, as editors were told, and what else any gateway still knows: withdrawals make
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -18,6 +18,7 @@
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path as FilePath, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -75,6 +76,8 @@
     counter: Option<Process>,
     /// Versions of the fleet's rules that the script asked for.
     pub published: Vec<Published>,
+    /// Nodes that the script replaced, by index, with the new one's.
+    pub replaced: BTreeMap<usize, usize>,
     /// Changes of them that were not to be had in time.
     pub unpublished: Vec<String>,
     /// Folders of the counter's files: one, and one more for each return with nothing.
@@ -164,6 +167,7 @@
             counter: None,
             published: vec![],
             unpublished: vec![],
+            replaced: BTreeMap::new(),
             counter_folders: vec![],
             ports,
         };
