--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -24,7 +24,9 @@
         self.0.fetch_add(1, Ordering::Relaxed);
         match (subject, class) {
             (_, REPORT) => Err(Final::OnGround { retry_after: 500 * MS }),
-            ("joined", _) => Ok(Insurer { id: frostgauge_settings::customer_id(subject), plan: 1, first: 0, spread: 1 }),
+            ("joined", _) => {
+                Ok(Insurer { id: frostgauge_settings::customer_id(subject), plan: 1, first: 0, spread: 1 })
+            }
             ("serra", PHOTO) => Err(Final::NotAllowed),
             _ => known.ok_or(Final::UnknownInsurer),
         }
