Times of agreed rules stand with their settings; a lost version is a check shown to fail

Times derived in gateway/src/agreed.rs (the canary's watch, when servers are asked, pauses of links) are tuned values outside a decision package. Change: the times are fields of accord's Tuning, the same values. agreed_checks::record: told twice, behind at the end, another text; each planted and found.

--- a/crates/accord/src/tuning.rs
+++ b/crates/accord/src/tuning.rs
@@ -59,6 +59,18 @@
     pub confirm: Micros,
     /// See [`Settings::canary_ms`].
     pub canary: Micros,
+    /// A version is watched for so long before a gateway of the canary part calls it good.
+    pub watch: Micros,
+    /// So long before a lease ends, servers are asked for their own word, so that it is there on ground.
+    pub soon: Micros,
+    /// How often is looked whether a server's word is due, or the list of servers has changed.
+    pub look: Micros,
+    /// One who is refused on ground is told to come back after this.
+    pub come_back: Micros,
+    /// A link on which nothing is confirmed for so long is given up: what it carries comes too late for a lease.
+    pub stall: Micros,
+    /// The longest pause before a link is opened anew.
+    pub reopen: Micros,
     /// Entries of a keeper's log before it begins a new one from a snapshot.
     pub log_most: usize,
     /// Bytes of a keeper's journal before it is written anew.
@@ -118,6 +130,12 @@
             tick: (lease / 30).max(1_000),
             confirm: self.confirm_ms * 1_000,
             canary: self.canary_ms * 1_000,
+            watch: self.canary_ms * 1_000 / 4,
+            soon: self.confirm_ms * 1_000 / 2,
+            look: (self.confirm_ms * 1_000 / 4).max(10_000),
+            come_back: self.confirm_ms * 1_000 / 2,
+            stall: lease.max(500_000),
+            reopen: (lease / 4).max(100_000),
             log_most: 1_024,
             journal_most: 4 << 20,
             counted_from_answer: false,
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -10,7 +10,7 @@
 use async_executor::Executor;
 use async_io::Timer;
 use frostgauge::{Entry, State, Status, Why};
-use frostgauge_accord::Under;
+use frostgauge_accord::{Tuning, Under};
 use frostgauge_fleet::task::{self, Mail};
 use frostgauge_fleet::{No, Start, Trial};
 use frostgauge_links::Links;
@@ -38,7 +38,7 @@
     trial: Arc<Mutex<Trial>>,
     clock: Clock,
     me: u16,
-    confirm: Micros,
+    tuning: Tuning,
 }
 
 /// What runs the rules, beside the engine.
@@ -67,15 +67,13 @@
     let listener = frostgauge_net::listen(address).map_err(|e| format!("accord.links {address}: {e}"))?;
     let (links, closing) = Closing::new();
     let (bytes, inbox) = async_channel::bounded(INBOX);
-    let lease = Duration::from_micros(tuning.lease);
     let config = frostgauge_links::Config {
         me,
         addresses: a.links.clone(),
         key: frostgauge_links::Key::derive(secret.expose()),
         source: loaded.file.gateway.source,
-        // What is not there within a lease comes too late for one.
-        stall: lease.max(Duration::from_millis(500)),
-        pause: (lease / 4).max(Duration::from_millis(100)),
+        stall: Duration::from_micros(tuning.stall),
+        pause: Duration::from_micros(tuning.reopen),
     };
     let opened = Links::open(config, listener, bytes, closing, executor.clone());
     let (nudge, nudged) = async_channel::bounded(1);
@@ -92,8 +90,8 @@
         }),
     };
     let (task, thread) = task::start(config)?;
-    let trial = Arc::new(Mutex::new(Trial::new(tuning.canary / 4)));
-    let agreed = Agreed { task, trial, clock, me, confirm: tuning.confirm };
+    let trial = Arc::new(Mutex::new(Trial::new(tuning.watch)));
+    let agreed = Agreed { task, trial, clock, me, tuning };
     Ok(Some(Runs { agreed, nudged, thread, links }))
 }
 
@@ -214,9 +212,8 @@
             return Err(match no {
                 No::Tenant => Final::UnknownInsurer,
                 No::Class => Final::NotAllowed,
-                // A lease may be back with the next answers; half a confirmation is soon enough to ask again.
                 No::Ground | No::Server => {
-                    Final::OnGround { retry_after: (self.agreed.confirm / 2).min(self.retry_most) }
+                    Final::OnGround { retry_after: self.agreed.tuning.come_back.min(self.retry_most) }
                 }
                 No::Part(wait) => {
                     Final::Refused { why: Why::Ceiling, retry_after: wait.min(self.retry_most) }
@@ -325,7 +322,7 @@
 
 impl Keep {
     async fn run(mut self) {
-        let every = Duration::from_micros(self.agreed.confirm / 4).max(Duration::from_millis(10));
+        let every = Duration::from_micros(self.agreed.tuning.look);
         let (ask, answered) = async_channel::bounded(ASKED_AT_ONCE);
         loop {
             let timer = async {
@@ -352,7 +349,7 @@
         let Some(a) = &loaded.file.accord else { return };
         let now = agreed.clock.now();
         let mut guard = agreed.task.guard();
-        let due = guard.to_confirm(now, agreed.confirm / 2, agreed.me, a.confirm_nodes);
+        let due = guard.to_confirm(now, agreed.tuning.soon, agreed.me, a.confirm_nodes);
         for node in due {
             let address = node.to_string();
             guard.asking(&address, now);
--- a/crates/rig/src/agreed.rs
+++ b/crates/rig/src/agreed.rs
@@ -302,6 +302,19 @@
         Ok(true)
     }
 
+    /// The latest version that each gateway knows, and what it says.
+    pub async fn latest(&self) -> Vec<(usize, Number, Rules)> {
+        let mut all = vec![];
+        for k in 0..self.doors.len() {
+            if let Ok((200, text)) = ask_with(self.admin(k), "GET", "/accord/rules", &[], PATIENCE).await {
+                let value: Value = serde_json::from_str(&text).unwrap_or_default();
+                let rules = serde_json::from_value(value["rules"].clone()).ok();
+                all.extend(value["version"].as_u64().zip(rules).map(|(n, rules)| (k, n, rules)));
+            }
+        }
+        all
+    }
+
     /// All versions of the record, as editors were told, and what else any gateway still knows: withdrawals make
     /// versions that nobody asked for.
     pub async fn versions(&self) -> BTreeMap<Number, Rules> {
--- a/crates/rig/src/agreed_checks.rs
+++ b/crates/rig/src/agreed_checks.rs
@@ -100,6 +100,30 @@
     (BTreeMap::from([("agreed", agreed), ("sums", sums(&acts, terms))]), figures)
 }
 
+/// One record: what an editor was told is nobody else's number, is behind nobody's latest at the end, and says there
+/// what it said. `told`: number and rules; `latest`: gateway, number and rules, as each gateway has them at the end.
+pub fn record(told: &[(Number, Rules)], latest: &[(usize, Number, Rules)]) -> Vec<String> {
+    let (mut found, mut by_number) = (vec![], BTreeMap::new());
+    for (number, rules) in told {
+        if by_number.insert(*number, rules).is_some() {
+            found.push(format!("version {number} was told to two editors"));
+        }
+    }
+    let last = by_number.keys().next_back().copied().unwrap_or(0);
+    if latest.is_empty() && last > 0 {
+        found.push("no gateway says what it knows".to_owned());
+    }
+    for (gateway, number, rules) in latest {
+        if *number < last {
+            found.push(format!("gateway {gateway} knows version {number}, an editor was told {last}"));
+        }
+        if by_number.get(number).is_some_and(|told| *told != rules) {
+            found.push(format!("version {number} at gateway {gateway} is not what its editor was told"));
+        }
+    }
+    found
+}
+
 fn none() -> Rules {
     Rules {
         format: frostgauge_accord::FORMAT,
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -201,13 +201,14 @@
     let strays = tablets.strays();
     fleet.look_for_dead();
     let versions = if s.accord.is_some() { fleet.versions().await } else { BTreeMap::new() };
+    let latest = if s.accord.is_some() { fleet.latest().await } else { vec![] };
     progress("ending the gateways");
     for k in 0..fleet.doors.len() {
         // A step may just be starting one anew.
         fleet.end_gateway(k);
     }
     fleet.end_counter();
-    check(site, &named, &tablets, adders.as_deref(), strays, hanging, seed, &notes, versions)
+    check(site, &named, &tablets, adders.as_deref(), strays, hanging, seed, &notes, versions, &latest)
 }
 
 /// What the counter's files and its callers' notes come to: violations, and counts for the report.
@@ -251,6 +252,7 @@
     seed: u64,
     notes: &Path,
     versions: BTreeMap<u64, Rules>,
+    latest: &[(usize, u64, Rules)],
 ) -> Result<Report, String> {
     let fleet = &site.fleet;
     let s = &fleet.scenario;
@@ -297,7 +299,7 @@
         rules.insert("counted", found);
         figures
     });
-    let accord = s.accord.as_ref().map(|a| agreed(fleet, a, &nodes, versions, &mut rules));
+    let accord = s.accord.as_ref().map(|a| agreed(fleet, a, &nodes, versions, latest, &mut rules));
     let units = s.classes.iter().map(|(n, c)| (n.clone(), c.units)).collect();
     let quota = quota::quality(&tries, &nodes, &terms, &units);
     let ops: BTreeSet<&str> = tries.iter().map(|t| t.op.as_str()).collect();
@@ -333,6 +335,7 @@
     accord: &Accord,
     nodes: &[Recorded],
     versions: BTreeMap<u64, Rules>,
+    latest: &[(usize, u64, Rules)],
     rules: &mut BTreeMap<&'static str, Vec<String>>,
 ) -> Value {
     let within = accord.settings.get("within_ms").and_then(Value::as_u64);
@@ -344,10 +347,7 @@
     let (found, mut figures) = agreed_checks::check(nodes, &Agreement { versions, names, within, asked });
     rules.extend(found);
     figures["unpublished"] = json!(state.unpublished);
-    // A number that two editors were told is one version lost.
-    let mut numbers = BTreeSet::new();
-    let twice = state.published.iter().filter(|p| !numbers.insert(p.version));
-    let twice = twice.map(|p| format!("version {} was told to two editors", p.version)).collect();
-    rules.insert("versions", twice);
+    let told: Vec<_> = state.published.iter().map(|p| (p.version, p.rules.clone())).collect();
+    rules.insert("versions", agreed_checks::record(&told, latest));
     figures
 }
--- a/crates/rig/tests/agreed_checkers.rs
+++ b/crates/rig/tests/agreed_checkers.rs
@@ -1,7 +1,7 @@
 //! The checks of agreed rules must fail: each planted fault is found, and the same records without it pass.
 
 use frostgauge_accord::{Class, Plan, Rules, Server, State, Tenant, Under, FORMAT};
-use frostgauge_rig::agreed_checks::{check, read, Terms};
+use frostgauge_rig::agreed_checks::{check, read, record, Terms};
 use frostgauge_rig::checks::Recorded;
 use frostgauge_standins::ledger::{Line, What};
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,3 +90,17 @@
     assert_eq!(found((0..23).map(|k| at(k, 23)).collect()), Vec::<String>::new());
     assert_eq!(found((0..40).map(|k| at(k, 40)).collect()).len(), 1);
 }
+
+#[test]
+fn a_version_lost_changed_or_told_twice_is_found() {
+    let (one, two) = (rules(8_000, true), rules(4_000, true));
+    let told = [(1, one.clone()), (2, two.clone())];
+    let at = |number, rules: &Rules| vec![(0, 2, two.clone()), (1, number, rules.clone())];
+    assert_eq!(record(&told, &at(2, &two)), Vec::<String>::new());
+    assert_eq!(record(&told, &at(3, &one)), Vec::<String>::new(), "a later one that nobody asked for");
+    assert_eq!(record(&told, &at(1, &one)).len(), 1, "one gateway never came to it");
+    assert_eq!(record(&told, &at(2, &one)).len(), 1, "it says something else there");
+    let twice = [(1, one.clone()), (2, one), (2, two.clone())];
+    assert_eq!(record(&twice, &at(2, &two)).len(), 1, "told twice");
+    assert_eq!(record(&told, &[]).len(), 1, "nobody can be asked");
+}
