A test that nothing new runs on the platform: its threads and doors are counted

Need: new parts are off there, which was read from the source and not tested. Change: the names of a platform process's threads, its listening sockets and those for datagrams are held to what they were.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -362,6 +362,32 @@
         Client::to(self.address)
     }
 
+    /// Names of its threads.
+    pub fn threads(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs");
+        let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm")).ok();
+        let mut names: Vec<String> =
+            tasks.filter_map(|t| name(t.ok()?)).map(|n| n.trim().to_owned()).collect();
+        names.sort();
+        names
+    }
+
+    /// Its sockets that take connections, and those for datagrams.
+    pub fn doors(&self) -> (usize, usize) {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
+        let links = files.filter_map(|f| std::fs::read_link(f.ok()?.path()).ok());
+        let own: Vec<String> = links
+            .filter_map(|l| Some(l.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+            .collect();
+        let count = |table: &str, listens: bool| {
+            let text = std::fs::read_to_string(format!("/proc/net/{table}")).expect("a table");
+            let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+            // State in the fourth column (0A: it listens), inode in the tenth.
+            rows.filter(|r| (!listens || r[3] == "0A") && own.iter().any(|i| i == r[9])).count()
+        };
+        (count("tcp", true) + count("tcp6", true), count("udp", false) + count("udp6", false))
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).expect("sent");
     }
--- a/crates/frostgauged/tests/life.rs
+++ b/crates/frostgauged/tests/life.rs
@@ -225,3 +225,16 @@
     }
     assert!(gateway.ended().success());
 }
+
+/// What is for gateways with a settings file alone starts nothing here: no thread of its own, no door, no datagram.
+#[test]
+fn on_the_platform_there_are_no_threads_or_doors_but_its_own() {
+    let server = Server::start(slow(1));
+    let discovery = Discovery::start(vec![server.entry("s-0", "up")]);
+    let gateway = Gateway::start(&discovery);
+    let (threads, doors) = (gateway.threads(), gateway.doors());
+    println!("{threads:?} {doors:?}");
+    assert_eq!(doors, (1, 1), "clients, and the peers' datagrams");
+    let known = ["frostgauged", "async-io"];
+    assert!(threads.iter().all(|t| known.iter().any(|k| t.starts_with(k))), "{threads:?}");
+}
