Gateways open connections to nodes only for slots, wait in line for them, close at the node

Need: budgets in the record bind nobody while a gateway's pool opens what it likes. Change: upstream::Held in place of the pool where the fleet has agreed rules: a connection counts from before it is begun until the node's own end of it is seen, or its attempt and idle limit are over; who finds no slot waits in its tenant's order within the time for connecting, and ends as never run. A connection that rests passes to another tenant, where that one's purse has room. Probes and checks take whatever purse has room. An attempt lasts no longer than the budget's. net::Way: exchange is generic in where connections come from. Measured: the gateway's and rig's tests of agreed rules pass as before (no budgets in them yet).

--- a/crates/budget/src/holdings.rs
+++ b/crates/budget/src/holdings.rs
@@ -122,6 +122,11 @@
         })
     }
 
+    /// What tells one state of these words from another, whatever their times.
+    pub fn state(&self) -> (Epoch, Vec<Epoch>) {
+        (self.top, self.tells.values().map(|t| t.epoch).collect())
+    }
+
     /// Places that the newest word names.
     pub fn places(&self) -> impl Iterator<Item = (&Place, &Slots)> {
         self.lists.get(&self.top).into_iter().flat_map(|l| l.iter())
@@ -174,6 +179,16 @@
         self.tells.most(now, place)
     }
 
+    /// Holders whose purses at a group have room now.
+    pub fn purses<'a>(&'a self, now: u64, group: &'a str) -> impl Iterator<Item = &'a Holder> {
+        self.tells.places().filter_map(move |(place, _)| match place {
+            Place::Purse(of, holder) if of == group && self.opened(place) < self.most(now, place) => {
+                Some(holder)
+            }
+            _ => None,
+        })
+    }
+
     /// Opens one, if it may: it counts from now on. One that needs no slot counts all the same: where a budget begins,
     /// it is known what is there.
     pub fn open(&mut self, now: u64, ticket: &Ticket) -> bool {
--- a/crates/budget/src/policy.rs
+++ b/crates/budget/src/policy.rs
@@ -27,6 +27,14 @@
     pub turn_ms: u64,
 }
 
+impl Budget {
+    /// How long a gateway keeps an idle connection at most, milliseconds: less than the server does, so that none goes
+    /// out just as the server closes it.
+    pub fn rest_ms(&self) -> u64 {
+        self.idle_ms - self.idle_ms / 4
+    }
+}
+
 fn attempt() -> u64 {
     30_000
 }
--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -158,6 +158,21 @@
         self.view.allows(now).ticket(tenant, class, server)
     }
 
+    /// Who could pay for a connection of the gateway's own to a server: any purse with room.
+    pub fn any_ticket(&self, now: Micros, server: SocketAddr) -> Option<Ticket> {
+        let allows = self.view.allows(now);
+        let plain = allows.ticket("", "", server)?;
+        if !plain.needs {
+            return Some(plain);
+        }
+        self.slots.room(now, &plain)
+    }
+
+    /// The policy of budgets that it goes by now.
+    pub fn budgets(&self, now: Micros) -> Option<Arc<Compiled>> {
+        self.view.allows(now).budgets.clone()
+    }
+
     /// Opens a connection, if there is a slot for it: it counts from now on.
     pub fn open(&mut self, now: Micros, ticket: &Ticket) -> bool {
         self.slots.open(now, ticket)
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -56,6 +56,14 @@
         self.holdings.closed(ticket);
     }
 
+    /// The same server for whoever has room in a purse of its group.
+    pub(crate) fn room(&self, now: Micros, at: &Ticket) -> Option<Ticket> {
+        self.holdings
+            .purses(now, &at.group)
+            .map(|holder| Ticket { holder: holder.clone(), ..at.clone() })
+            .next()
+    }
+
     pub(crate) fn most(&self, now: Micros, place: &Place) -> u32 {
         self.holdings.most(now, place)
     }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -292,6 +292,7 @@
             a.ground == b.ground && lease(a) == lease(b)
         };
         let changed = on_ground != self.was_on_ground || !same(&view, &self.shown);
+        let slots = view.slots.state() != self.shown.slots.state();
         if *view != *self.shown {
             self.handle.guard().put(view.clone());
             self.shown = view;
@@ -302,6 +303,8 @@
             metrics::counter!("frostgauge_rules_changes").increment(1);
             metrics::gauge!("frostgauge_on_ground").set(f64::from(u8::from(on_ground)));
             tracing::info!(under = ?under, "the fleet's rules");
+        }
+        if changed || slots {
             (self.config.changed)();
         }
     }
--- a/crates/frostgauged/tests/agreed.rs
+++ b/crates/frostgauged/tests/agreed.rs
@@ -30,7 +30,7 @@
         "accord": { "keepers": [0, 1, 2], "links": links, "secret_file": "secret", "folder": "accord" },
     });
     let rules = json!({
-        "format": 1, "classes": { "read": { "cost_milli": 1000, "repeatable": true, "ground": true } },
+        "format": 2, "classes": { "read": { "cost_milli": 1000, "repeatable": true, "ground": true } },
         "plans": { "p": { "rate_milli": 9000, "ceiling_milli": null } },
         "tenants": { "vale": { "plan": "p", "classes": ["read"], "floor_milli": 1000 } },
         "servers": { "s": { "address": "127.0.0.1:9", "state": "Ready" } }, "gateways": [0, 1, 2],
@@ -66,7 +66,7 @@
         *changed.pointer_mut(path).expect("a place") = value;
         changed
     };
-    refused(&folder, &settings, Some(&with("/format", json!(9))), "format: is 9, this program knows 1");
+    refused(&folder, &settings, Some(&with("/format", json!(9))), "format: is 9, this program knows 2");
     let far = with("/tenants/vale/floor_milli", json!(3_001));
     refused(&folder, &settings, Some(&far), "tenants.vale.floor_milli: is over a gateway's part");
     refused(&folder, &settings, Some(&with("/gateways", json!([]))), "gateways: there must be one");
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -5,16 +5,17 @@
 use crate::core::Admission;
 use crate::oauth::{Handle, Message, News};
 use crate::reply::Final;
-use crate::upstream::{self, Ended, NOT_RUN};
+use crate::upstream::{self, Ended, Held, Paid, NOT_RUN};
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use async_io::Timer;
 use frostgauge::{Entry, State, Status, Why};
 use frostgauge_accord::{Tuning, Under};
+use frostgauge_budget::{Budget, Ticket};
 use frostgauge_fleet::task::{self, Mail};
 use frostgauge_fleet::{No, Start, Trial};
 use frostgauge_links::Links;
-use frostgauge_net::{Closing, Hold, Pool};
+use frostgauge_net::{Closing, Hold};
 use frostgauge_proto::http::Limits;
 use frostgauge_settings::{server_id, Insurer, Loaded};
 use futures_lite::future;
@@ -45,6 +46,8 @@
 pub struct Runs {
     /// The rules.
     pub agreed: Agreed,
+    /// Connections to nodes under them.
+    pub held: Arc<Held>,
     nudged: Receiver<()>,
     thread: std::thread::JoinHandle<()>,
     links: Hold,
@@ -92,7 +95,9 @@
     let (task, thread) = task::start(config)?;
     let trial = Arc::new(Mutex::new(Trial::new(tuning.watch)));
     let agreed = Agreed { task, trial, clock, me, tuning };
-    Ok(Some(Runs { agreed, nudged, thread, links }))
+    let life = Duration::from_millis(loaded.file.limits.pool_idle_ms);
+    let held = Held::new(agreed.clone(), executor.clone(), loaded.file.gateway.source, life);
+    Ok(Some(Runs { agreed, held, nudged, thread, links }))
 }
 
 impl Runs {
@@ -103,7 +108,7 @@
             handle: handle.clone(),
             nudged: self.nudged.clone(),
             executor: executor.clone(),
-            pool: Arc::new(Pool::new(1, Duration::from_secs(5)).from(handle.loaded().file.gateway.source)),
+            held: self.held.clone(),
             told: None,
             reported: None,
         };
@@ -114,12 +119,39 @@
     pub fn end(self) {
         drop(self.links);
         self.agreed.task.say(Mail::Stop);
-        drop((self.agreed, self.nudged));
+        drop((self.agreed, self.held, self.nudged));
         let _ = self.thread.join();
     }
 }
 
 impl Agreed {
+    /// The time now, as the guard goes by it.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    fn budget<T>(&self, ticket: &Ticket, of: impl Fn(&Budget) -> T) -> Option<T> {
+        let now = self.clock.now();
+        let policy = self.task.guard().budgets(now).filter(|_| ticket.needs)?;
+        policy.policy().budgets.get(&ticket.group).map(of)
+    }
+
+    /// How long a connection may rest.
+    pub fn rests(&self, ticket: &Ticket) -> Option<Duration> {
+        self.budget(ticket, |b| Duration::from_millis(b.rest_ms()))
+    }
+
+    /// How long a request may be in hand on a connection.
+    pub fn attempt(&self, ticket: &Ticket) -> Option<Duration> {
+        self.budget(ticket, |b| Duration::from_millis(b.attempt_ms))
+    }
+
+    /// How long a connection that was shut may yet stand at its node.
+    pub fn outlives(&self, ticket: &Ticket) -> Duration {
+        let most = self.budget(ticket, |b| Duration::from_millis(b.attempt_ms + b.idle_ms));
+        most.unwrap_or(Duration::from_micros(self.tuning.stall))
+    }
+
     /// The task, for staff.
     pub fn task(&self) -> &task::Handle {
         &self.task
@@ -220,6 +252,9 @@
                 }
             });
         }
+        if guard.servers(now).next().is_none() {
+            guard.missed(now, subject, class);
+        }
         // One that came with a version is known by its plan alone.
         let view = guard.view().clone();
         let plan = view.at(now).1.plans.get(subject);
@@ -316,7 +351,7 @@
     handle: Handle,
     nudged: Receiver<()>,
     executor: Arc<Executor<'static>>,
-    pool: Arc<Pool>,
+    held: Arc<Held>,
     told: Option<BTreeSet<SocketAddr>>,
     reported: Option<(u64, bool)>,
 }
@@ -335,6 +370,7 @@
             if !future::or(nudge, future::or(answer, timer)).await {
                 return;
             }
+            self.held.tidy();
             self.confirm(&ask);
             let (open, _) = self.agreed.open();
             if self.told.as_ref() != Some(&open) && self.handle.try_send(Message::News(News::Agreed)) {
@@ -355,14 +391,15 @@
             let address = node.to_string();
             guard.asking(&address, now);
             metrics::counter!("frostgauge_confirmations").increment(1);
-            let (agreed, answered, pool) = (agreed.clone(), answered.clone(), self.pool.clone());
+            let (agreed, answered, held) = (agreed.clone(), answered.clone(), self.held.clone());
             let (path, loaded) = (a.confirm_path.clone(), loaded.clone());
             let work = async move {
                 let l = &loaded.file.limits;
                 let limits =
                     Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
                 let patience = Duration::from_millis(l.connect_ms);
-                let ended = upstream::probe(&pool, node, &path, &limits, patience).await;
+                let way = Paid::probe(&held, node);
+                let ended = upstream::probe(&way, node, &path, &limits, patience).await;
                 if let Some(response) = ended.response {
                     let ready = response.head.one(NOT_RUN) != Some("draining");
                     agreed.task.guard().heard(&address, now, ready);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -109,9 +109,9 @@
     let connections = loaded.file.limits.connections;
     let rules = agreed::start(&loaded, clock, &executor)?;
     let agreed = rules.as_ref().map(|r| r.agreed.clone());
-    let (engine, handle) =
-        oauth::engine(loaded, rand::random(), clock, executor.clone(), talker, agreed.clone())
-            .map_err(|e| e.to_string())?;
+    let held = rules.as_ref().map(|r| r.held.clone());
+    let (engine, handle) = oauth::engine(loaded, rand::random(), clock, executor.clone(), talker, held)
+        .map_err(|e| e.to_string())?;
     if let Some(rules) = &rules {
         rules.keep(&handle, &executor);
     }
--- a/crates/gateway/src/oauth.rs
+++ b/crates/gateway/src/oauth.rs
@@ -5,13 +5,13 @@
 use crate::core::{Ask, Command, Core, Input};
 use crate::engine::{self, Attempt, Inside, Outside};
 use crate::peers::Peers;
-use crate::upstream::{self, Ended, Forward, Outgoing};
+use crate::upstream::{self, Ended, Forward, Held, Outgoing, Paid};
 use async_channel::Sender;
 use async_executor::{Executor, Task};
 use frostgauge::{CounterId, ServerId, Status};
 use frostgauge_counter::client::{self, Answered, Client};
 use frostgauge_identity::{Answer, Grant, TokenName};
-use frostgauge_net::{exchange, End, Pool};
+use frostgauge_net::{exchange, End, Pool, Pooled};
 use frostgauge_proto::bearer::Token;
 use frostgauge_proto::http::{write_request, Body, Limits};
 use frostgauge_proto::introspection;
@@ -113,6 +113,8 @@
     peers: Option<Peers>,
     counter: Option<Client>,
     agreed: Option<Agreed>,
+    /// Connections to nodes, where the fleet has agreed rules: in place of the pool's.
+    held: Option<Arc<Held>>,
     tokens: BTreeMap<TokenName, Token>,
     key: [u8; 32],
     started: Micros,
@@ -130,10 +132,11 @@
     clock: Clock,
     executor: Arc<Executor<'static>>,
     peers: Option<Peers>,
-    agreed: Option<Agreed>,
+    held: Option<Arc<Held>>,
 ) -> Result<(Engine, Handle), frostgauge::SettingsError> {
     let now = clock.now();
     let mut core = Core::new(&loaded, seed, now)?;
+    let agreed = held.as_ref().map(|h| h.agreed().clone());
     if let Some(agreed) = &agreed {
         core.admit_by(Box::new(Gatekeeper::new(agreed.clone(), &loaded)));
         // Until the rules are known, no node may get anything.
@@ -153,6 +156,7 @@
         peers,
         counter: None,
         agreed,
+        held,
         tokens: BTreeMap::new(),
         key: rand::random(),
         started: now,
@@ -243,17 +247,26 @@
         let number = format!("{}-{:x}-{ticket}", loaded.file.gateway.number, self.started);
         let bytes = call.forward.bytes(to, &grant.subject, &number, attempt, rand::random());
         let to_head = call.forward.head.method() == "HEAD";
-        let pool = self.pool.clone();
+        let (pool, held) = (self.pool.clone(), self.held.clone());
         let class = loaded.routes.get(call.caller.route).and_then(|r| loaded.classes.get(r.class));
         let look = self.agreed.as_ref().zip(class).map(|(a, class)| a.look(&grant.subject, class, to));
         let request = Outgoing { bytes, to_head, look };
+        let paid = held.zip(class).map(|(held, class)| Paid::request(&held, to, &grant.subject, class));
         self.executor.spawn(async move {
             let l = &loaded.file.limits;
             let limits =
                 Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: l.answer_bytes };
             let connect = Duration::from_millis(l.connect_ms);
             let deadline = instant + Duration::from_micros(timeout);
-            let ended = upstream::attempt(&pool, to, request, &limits, connect, deadline).await;
+            let ended = match paid {
+                None => upstream::attempt(&Pooled(&pool, to), request, &limits, connect, deadline).await,
+                // The rules let nothing go there any more: nothing has run.
+                Some(None) => Ended { status: Status::Moot, response: None, used: None, load: None },
+                Some(Some(way)) => {
+                    let longest = way.longest().map_or(deadline, |most| instant + most);
+                    upstream::attempt(&way, request, &limits, connect, deadline.min(longest)).await
+                }
+            };
             let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
         })
     }
@@ -369,6 +382,9 @@
             }
         }
         wanted.push(loaded.introspection().address);
+        if let Some(held) = &self.held {
+            held.keep(&wanted);
+        }
         self.pool.keep(&wanted);
     }
 
@@ -394,7 +410,8 @@
     }
 
     fn probe(&mut self, server: ServerId) {
-        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox(), self.pool.clone());
+        let (loaded, inbox) = (self.handle.loaded(), self.handle.inbox());
+        let (pool, held) = (self.pool.clone(), self.held.clone());
         let Some(to) = self.addresses.get(&server).copied() else { return };
         self.executor
             .spawn(async move {
@@ -403,14 +420,15 @@
                     Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
                 let patience = Duration::from_millis(l.connect_ms);
                 let path = l.probe_path.as_deref().unwrap_or("/");
-                let ended = upstream::probe(&pool, to, path, &limits, patience).await;
+                let ended = ask_node(held, &pool, to, path, &limits, patience).await;
                 let _ = inbox.send(Message::Probed { server, ended }).await;
             })
             .detach();
     }
 
     fn check(&mut self, server: ServerId) {
-        let (loaded, inbox, pool) = (self.handle.loaded(), self.handle.inbox(), self.pool.clone());
+        let (loaded, inbox) = (self.handle.loaded(), self.handle.inbox());
+        let (pool, held) = (self.pool.clone(), self.held.clone());
         let Some(to) = self.addresses.get(&server).copied() else { return };
         let Some(path) = loaded.file.zone_policy.as_ref().map(|p| p.check_path.clone()) else { return };
         self.executor
@@ -420,7 +438,7 @@
                     Limits { line: l.line_bytes, fields: l.fields, head: l.head_bytes, body: 64 << 10 };
                 let began = Instant::now();
                 let patience = Duration::from_millis(l.connect_ms);
-                let status = upstream::probe(&pool, to, &path, &limits, patience).await.status;
+                let status = ask_node(held, &pool, to, &path, &limits, patience).await.status;
                 let took = crate::clock::micros(began.elapsed());
                 let _ = inbox.send(Message::News(News::Checked { server, status, took })).await;
             })
@@ -527,3 +545,18 @@
         None => Answer::Bad,
     }
 }
+
+/// Asks a node at a path: on a connection of the fleet's budgets, where there are such.
+async fn ask_node(
+    held: Option<Arc<Held>>,
+    pool: &Pool,
+    to: SocketAddr,
+    path: &str,
+    limits: &Limits,
+    patience: Duration,
+) -> Ended {
+    match held {
+        Some(held) => upstream::probe(&Paid::probe(&held, to), to, path, limits, patience).await,
+        None => upstream::probe(&Pooled(pool, to), to, path, limits, patience).await,
+    }
+}
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::agreed::Look;
 use frostgauge::{Load, Status};
-use frostgauge_net::{exchange, exchange_when, End, Pool, Response};
+use frostgauge_net::{exchange_by, End, Response, Way};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
 use frostgauge_proto::{orca, trace};
 use std::borrow::Cow;
@@ -120,9 +120,8 @@
 }
 
 /// Makes an attempt.
-pub async fn attempt(
-    pool: &Pool,
-    to: SocketAddr,
+pub async fn attempt<W: Way>(
+    way: &W,
     mut request: Outgoing,
     limits: &Limits,
     connect: Duration,
@@ -133,7 +132,7 @@
         Some(look) => look.stamp(bytes),
         None => Some(Cow::Borrowed(&bytes[..])),
     };
-    let ended = ended(exchange_when(pool, to, last, *to_head, limits, connect, deadline).await);
+    let ended = ended(exchange_by(way, last, *to_head, limits, connect, deadline).await);
     if let Some(look) = &request.look {
         look.ended(&ended);
     }
@@ -141,10 +140,17 @@
 }
 
 /// Probes a node: a GET of the settings' path, given up after the time for connecting.
-pub async fn probe(pool: &Pool, to: SocketAddr, path: &str, limits: &Limits, patience: Duration) -> Ended {
+pub async fn probe<W: Way>(
+    way: &W,
+    to: SocketAddr,
+    path: &str,
+    limits: &Limits,
+    patience: Duration,
+) -> Ended {
     let mut request = Vec::new();
     let host = to.to_string();
     let fields = [("host", host.as_bytes())];
     write_request(&mut request, "GET", path, fields.into_iter(), Body::None);
-    ended(exchange(pool, to, &request, false, limits, patience, Instant::now() + patience).await)
+    let look = || Some(Cow::Borrowed(&request[..]));
+    ended(exchange_by(way, look, false, limits, patience, Instant::now() + patience).await)
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Attempts at nodes and probes of them.
 
 mod attempt;
+mod held;
 
 pub use attempt::{attempt, probe, Ended, Forward, Outgoing, NOT_RUN};
+pub use held::{Held, Link, Paid, Seat};
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -34,6 +34,63 @@
     TimedOut,
 }
 
+/// Why there is no new connection.
+#[derive(Debug)]
+pub enum NoLink {
+    /// The system, or the other side, says no.
+    Io(io::Error),
+    /// It did not stand in time.
+    Late,
+    /// None may be opened from here now: nothing was tried.
+    NoPlace,
+}
+
+/// Where connections to one address come from, and go back to. One that is dropped is closed.
+pub trait Way {
+    /// A connection.
+    type Link: AsRef<Async<TcpStream>>;
+    /// One that rests.
+    fn resting(&self) -> Option<Self::Link>;
+    /// A new one that stands by then.
+    fn open(&self, limit: Instant) -> impl std::future::Future<Output = Result<Self::Link, NoLink>> + Send;
+    /// Takes one back.
+    fn back(&self, link: Self::Link);
+}
+
+/// By a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Pooled<'a>(pub &'a Pool, pub SocketAddr);
+
+/// A pool's connection.
+#[derive(Debug)]
+pub struct Plain(Async<TcpStream>);
+
+impl AsRef<Async<TcpStream>> for Plain {
+    fn as_ref(&self) -> &Async<TcpStream> {
+        &self.0
+    }
+}
+
+impl Way for Pooled<'_> {
+    type Link = Plain;
+
+    fn resting(&self) -> Option<Plain> {
+        self.0.take(self.1).map(Plain)
+    }
+
+    async fn open(&self, limit: Instant) -> Result<Plain, NoLink> {
+        match until(limit, self.0.connect(self.1)).await {
+            Timed::Done(Ok(stream)) => Ok(Plain(stream)),
+            Timed::Done(Err(e)) => Err(NoLink::Io(e)),
+            Timed::Late => Err(NoLink::Late),
+        }
+    }
+
+    fn back(&self, link: Plain) {
+        self.0.put(self.1, link.0);
+    }
+}
+
 /// Sends a request and reads its response, on an idle connection or a new one.
 pub async fn exchange(
     pool: &Pool,
@@ -45,31 +102,30 @@
     deadline: Instant,
 ) -> End {
     let always = || Some(Cow::Borrowed(request));
-    exchange_when(pool, to, always, to_head, limits, connect, deadline).await
+    exchange_by(&Pooled(pool, to), always, to_head, limits, connect, deadline).await
 }
 
-/// The same, with a last look: `look` gives the bytes once the connection stands, right before the first of them goes
-/// out, or none if nothing may go any more ([`End::NotTried`]). It may be asked once more if an idle connection turns
-/// out to be closed.
-pub async fn exchange_when<'a>(
-    pool: &Pool,
-    to: SocketAddr,
+/// The same by another way, with a last look: `look` gives the bytes once the connection stands, right before the first
+/// of them goes out, or none if nothing may go any more ([`End::NotTried`]). It may be asked once more if an idle
+/// connection turns out to be closed.
+pub async fn exchange_by<'a, W: Way>(
+    way: &W,
     mut look: impl FnMut() -> Option<Cow<'a, [u8]>>,
     to_head: bool,
     limits: &Limits,
     connect: Duration,
     deadline: Instant,
 ) -> End {
-    if let Some(stream) = pool.take(to) {
+    if let Some(link) = way.resting() {
         let Some(request) = look() else {
-            pool.put(to, stream);
+            way.back(link);
             return End::NotTried;
         };
         let mut written = 0;
-        match until(deadline, talk(&stream, &request, to_head, limits, &mut written)).await {
+        match until(deadline, talk(link.as_ref(), &request, to_head, limits, &mut written)).await {
             Timed::Done(Ok((response, keep))) => {
                 if keep {
-                    pool.put(to, stream);
+                    way.back(link);
                 }
                 return End::Answered(Box::new(response));
             }
@@ -81,24 +137,25 @@
         }
     }
     let limit = deadline.min(Instant::now() + connect);
-    let stream = match until(limit, pool.connect(to)).await {
-        Timed::Done(Ok(stream)) => stream,
-        Timed::Done(Err(e)) if exhausted(&e) => return End::NotTried,
-        Timed::Done(Err(_)) => return End::NotConnected,
+    let link = match way.open(limit).await {
+        Ok(link) => link,
+        Err(NoLink::NoPlace) => return End::NotTried,
+        Err(NoLink::Io(e)) if exhausted(&e) => return End::NotTried,
+        Err(NoLink::Io(_)) => return End::NotConnected,
         // The client's time ran out first: that says nothing of the node.
-        Timed::Late if limit == deadline => return End::NotTried,
-        Timed::Late => return End::NotConnected,
+        Err(NoLink::Late) if limit == deadline => return End::NotTried,
+        Err(NoLink::Late) => return End::NotConnected,
     };
-    let _ = stream.get_ref().set_nodelay(true);
+    let _ = link.as_ref().get_ref().set_nodelay(true);
     let Some(request) = look() else {
-        pool.put(to, stream);
+        way.back(link);
         return End::NotTried;
     };
     let mut written = 0;
-    match until(deadline, talk(&stream, &request, to_head, limits, &mut written)).await {
+    match until(deadline, talk(link.as_ref(), &request, to_head, limits, &mut written)).await {
         Timed::Done(Ok((response, keep))) => {
             if keep {
-                pool.put(to, stream);
+                way.back(link);
             }
             End::Answered(Box::new(response))
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 mod stream;
 
 pub use accept::{accept, listen, or_closing, Closing, Hold, Place, Places};
-pub use exchange::{exchange, exchange_when, receive, talk, End, Response};
-pub use pool::Pool;
+pub use exchange::{exchange, exchange_by, receive, talk, End, NoLink, Plain, Pooled, Response, Way};
+pub use pool::{stands, Pool};
 pub use staff::{ask, ask_with, pages, Page, Question};
 pub use stream::{exhausted, read_some, until, Timed};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -45,22 +45,31 @@
     /// # Errors
     /// Those of the system.
     pub async fn connect(&self, to: SocketAddr) -> std::io::Result<Async<TcpStream>> {
-        let Some(source) = self.source else { return Async::<TcpStream>::connect(to).await };
+        if self.source.is_none() {
+            return Async::<TcpStream>::connect(to).await;
+        }
+        let stream = self.begin(to)?;
+        stands(&stream).await?;
+        Ok(stream)
+    }
+
+    /// Begins to open one: it stands, or has failed, once [`stands`] says so.
+    ///
+    /// # Errors
+    /// Those of the system.
+    pub fn begin(&self, to: SocketAddr) -> std::io::Result<Async<TcpStream>> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
-        socket.bind(&SocketAddr::new(source, 0).into())?;
+        if let Some(source) = self.source {
+            socket.bind(&SocketAddr::new(source, 0).into())?;
+        }
         match socket.connect(&to.into()) {
             Ok(()) => {}
             // EINPROGRESS: it stands, or failed, once the socket can be written.
             Err(e) if e.raw_os_error() == Some(115) || e.kind() == ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
-        let stream = Async::new(TcpStream::from(socket))?;
-        stream.writable().await?;
-        match stream.get_ref().take_error()? {
-            Some(error) => Err(error),
-            None => Ok(stream),
-        }
+        Async::new(TcpStream::from(socket))
     }
 
     /// The idle connection used last, if one is open.
@@ -113,3 +122,15 @@
         self.len() == 0
     }
 }
+
+/// Waits until a connection that was begun stands.
+///
+/// # Errors
+/// Why it does not.
+pub async fn stands(stream: &Async<TcpStream>) -> std::io::Result<()> {
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(()),
+    }
+}
--- a/crates/net/tests/look.rs
+++ b/crates/net/tests/look.rs
@@ -1,7 +1,7 @@
 //! The last look before a request's bytes go.
 
 use async_io::Async;
-use frostgauge_net::{exchange_when, End, Pool};
+use frostgauge_net::{exchange_by, End, Pool, Pooled};
 use frostgauge_proto::http::Limits;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::borrow::Cow;
@@ -19,7 +19,7 @@
 }
 
 async fn go<'a>(pool: &Pool, to: SocketAddr, look: impl FnMut() -> Option<Cow<'a, [u8]>>) -> End {
-    exchange_when(pool, to, look, false, &Limits::default(), SECOND, Instant::now() + SECOND).await
+    exchange_by(&Pooled(pool, to), look, false, &Limits::default(), SECOND, Instant::now() + SECOND).await
 }
 
 async fn serve(stream: &mut Async<TcpStream>) -> Vec<u8> {
