--- a/crates/rig/tests/agreed_checkers.rs
+++ b/crates/rig/tests/agreed_checkers.rs
@@ -1,6 +1,7 @@
 //! The checks of agreed rules must fail: each planted fault is found, and the same records without it pass.
 
 use frostgauge_accord::{Class, Plan, Rules, Server, State, Tenant, Under, FORMAT};
+use frostgauge_budget::{Budget, Policy};
 use frostgauge_rig::agreed_checks::{check, read, record, Terms};
 use frostgauge_rig::checks::Recorded;
 use frostgauge_standins::ledger::{Line, What};
@@ -105,3 +106,32 @@
     assert_eq!(record(&twice, &at(2, &two)).len(), 1, "told twice");
     assert_eq!(record(&told, &[]).len(), 1, "nobody can be asked");
 }
+
+#[test]
+fn a_node_with_more_connections_than_its_budget_is_found() {
+    let with = |most: u32| {
+        let (idle_ms, attempt_ms, turn_ms) = (1_000, 1_000, 1_000);
+        let budget = Budget { zone: None, connections: most, idle_ms, attempt_ms, turn_ms };
+        let budgets = Policy { budgets: [("all".to_owned(), budget)].into(), ..Policy::default() };
+        Rules { budgets, ..rules(8_000, true) }
+    };
+    // Halved by the second version, which was asked for at T.
+    let terms = Terms { versions: [(1, with(4)), (2, with(2))].into(), ..terms() };
+    let seen =
+        |t: u64, what: What, from: u64| Line { what, request: format!("10.0.0.1:{from}"), ..line(t, 0, "") };
+    let found = |lines: Vec<Line>| {
+        let nodes = [Recorded { node: node(), zone: "a".into(), started: 0, lines }];
+        check(&nodes, &terms).0.remove("budgets").unwrap_or_default()
+    };
+    let opens = |t: u64, n: u64| (0..n).map(move |k| seen(t + k, What::Open, k));
+    assert_eq!(found(opens(T - S, 4).collect()), Vec::<String>::new());
+    assert_eq!(found(opens(T - S, 5).collect()).len(), 1, "one too many");
+    let closed = opens(T - S, 4).chain([seen(T, What::Shut, 2)]).chain([seen(T + 1, What::Open, 9)]);
+    assert_eq!(found(closed.collect()), Vec::<String>::new(), "one for another");
+    let own = opens(T - S, 5).chain([seen(T, What::Control, 4)]);
+    assert_eq!(found(own.collect()), Vec::<String>::new(), "the script's own do not count");
+    // Once all that went by the first version is over, the second holds.
+    let (late, later) = (T + 5 * S, T + 60 * S);
+    assert_eq!(found(opens(late, 4).collect()), Vec::<String>::new());
+    assert_eq!(found(opens(later, 3).collect()).len(), 1);
+}
