--- a/crates/fleet/benches/guard.rs
+++ b/crates/fleet/benches/guard.rs
@@ -2,6 +2,7 @@
 
 use criterion::{criterion_group, criterion_main, Criterion};
 use frostgauge_accord::{meet_all, Class, Plan, Rules, Server, State, Tenant, Version, FORMAT};
+use frostgauge_budget::{Budget, Holder, Place, Policy, Slots, Tells, Told};
 use frostgauge_fleet::{Allows, Guard, Leased, View};
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -48,5 +49,40 @@
     }
 }
 
-criterion_group!(benches, looks);
+/// A connection that rests, looked at for a request and given back, where servers have budgets.
+fn slots(c: &mut Criterion) {
+    for (servers, tenants) in [(14u16, 40u32), (400, 400)] {
+        let budget = Budget { zone: None, connections: 9, idle_ms: 9_000, attempt_ms: 9_000, turn_ms: 1_000 };
+        let budgets = Policy { budgets: [("all".to_owned(), budget)].into(), ..Policy::default() };
+        let rules = Rules { budgets, ..rules(servers, tenants) };
+        let (author, reason) = (String::new(), String::new());
+        let version = Version { number: 1, before: [0; 32], author, reason, time_ms: 0, rules };
+        let allows = Arc::new(Allows::new(meet_all(1, [&version]), Some(&version.rules)));
+        let lease = Leased { versions: [1].into(), until: u64::MAX, allows };
+        let mut tells = Tells::default();
+        tells.quorums([(1, ([1, 2, 3].into(), 2))].into());
+        let some = Slots { held: 2, to: 2, ground: 0 };
+        let at_servers = (0..servers).map(|k| (Place::server(&format!("s{k}")), some));
+        let holder = |k: u32| Holder { tenant: format!("t{k}"), class: None };
+        let purses = (0..tenants).map(|k| (Place::purse("all", &holder(k)), some));
+        let list: Vec<_> = at_servers.chain(purses).collect();
+        (1..=3).for_each(|k| tells.told(k, 1, Told::Slots(1, list.clone()), u64::MAX));
+        let mut guard = Guard::new(1_000_000);
+        guard.put(Arc::new(View { lease: Some(lease), slots: Arc::new(tells), ..View::default() }));
+        let (mut now, at) = (0, SocketAddr::from(([10, 0, 0, 7], 80)));
+        c.bench_function(&format!("a slot for a request, {servers} servers, {tenants} tenants"), |b| {
+            b.iter(|| {
+                now += 1_000;
+                let ticket = guard.ticket(now, black_box("t17"), "read", at).expect("listed");
+                guard.wants(now, &ticket);
+                let may = guard.open(now, &ticket) && guard.may_use(now, &ticket);
+                guard.closed(&ticket);
+                guard.done(now, &ticket);
+                may
+            });
+        });
+    }
+}
+
+criterion_group!(benches, looks, slots);
 criterion_main!(benches);
--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -388,7 +388,15 @@
         by_lot.sort_unstable();
         // One that was asked and did not say yes gives its place to the next.
         let silent = |a: &str| self.confirmed.silent(a, now, 4 * self.confirm);
-        let some = by_lot.into_iter().filter(|(_, a)| !silent(a)).take(most);
+        // One at which nothing is kept for this gateway gets nothing from it on ground.
+        let allows = &self.view.ground_allows;
+        let kept = |a: &str| {
+            let name = a.parse().ok().and_then(|a: SocketAddr| allows.names.get(&a));
+            name.is_none_or(|n| {
+                !allows.what.budgeted.contains_key(n) || self.slots.ground(&Place::server(n)) > 0
+            })
+        };
+        let some = by_lot.into_iter().filter(|(_, a)| !silent(a) && kept(a)).take(most);
         some.filter(|(_, a)| self.confirmed.due(a, now, self.confirm / 3))
             .filter_map(|(_, a)| a.parse().ok())
             .collect()
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// What is its own there also without a lease.
+    pub(crate) fn ground(&self, place: &Place) -> u32 {
+        self.holdings.most(Micros::MAX, place)
+    }
+
     pub(crate) fn excess(
         &self,
         now: Micros,
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -5,15 +5,14 @@
 use crate::core::Admission;
 use crate::oauth::{Handle, Message, News};
 use crate::reply::Final;
-use crate::upstream::{self, Ended, Held, Paid, NOT_RUN};
+use crate::upstream::{self, Book, Ended, Held, Paid, NOT_RUN};
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use async_io::Timer;
 use frostgauge::{Entry, State, Status, Why};
 use frostgauge_accord::{Tuning, Under};
-use frostgauge_budget::{Budget, Ticket};
 use frostgauge_fleet::task::{self, Mail};
-use frostgauge_fleet::{No, Start, Trial};
+use frostgauge_fleet::{Guard, No, Start, Trial};
 use frostgauge_links::Links;
 use frostgauge_net::{Closing, Hold};
 use frostgauge_proto::http::Limits;
@@ -22,7 +21,7 @@
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Messages from other gateways that may wait for the task; while it is full, their links wait.
@@ -96,7 +95,7 @@
     let trial = Arc::new(Mutex::new(Trial::new(tuning.watch)));
     let agreed = Agreed { task, trial, clock, me, tuning };
     let life = Duration::from_millis(loaded.file.limits.pool_idle_ms);
-    let held = Held::new(agreed.clone(), executor.clone(), loaded.file.gateway.source, life);
+    let held = Held::new(Arc::new(agreed.clone()), executor.clone(), loaded.file.gateway.source, life);
     Ok(Some(Runs { agreed, held, nudged, thread, links }))
 }
 
@@ -125,33 +124,6 @@
 }
 
 impl Agreed {
-    /// The time now, as the guard goes by it.
-    pub fn now(&self) -> Micros {
-        self.clock.now()
-    }
-
-    fn budget<T>(&self, ticket: &Ticket, of: impl Fn(&Budget) -> T) -> Option<T> {
-        let now = self.clock.now();
-        let policy = self.task.guard().budgets(now).filter(|_| ticket.needs)?;
-        policy.policy().budgets.get(&ticket.group).map(of)
-    }
-
-    /// How long a connection may rest.
-    pub fn rests(&self, ticket: &Ticket) -> Option<Duration> {
-        self.budget(ticket, |b| Duration::from_millis(b.rest_ms()))
-    }
-
-    /// How long a request may be in hand on a connection.
-    pub fn attempt(&self, ticket: &Ticket) -> Option<Duration> {
-        self.budget(ticket, |b| Duration::from_millis(b.attempt_ms))
-    }
-
-    /// How long a connection that was shut may yet stand at its node.
-    pub fn outlives(&self, ticket: &Ticket) -> Duration {
-        let most = self.budget(ticket, |b| Duration::from_millis(b.attempt_ms + b.idle_ms));
-        most.unwrap_or(Duration::from_micros(self.tuning.stall))
-    }
-
     /// The task, for staff.
     pub fn task(&self) -> &task::Handle {
         &self.task
@@ -207,6 +179,16 @@
     }
 }
 
+impl Book for Agreed {
+    fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    fn guard(&self) -> MutexGuard<'_, Guard> {
+        self.task.guard()
+    }
+}
+
 /// A request's tenant and class against the rules, before it goes to the library.
 pub struct Gatekeeper {
     agreed: Agreed,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -109,8 +109,8 @@
     let connections = loaded.file.limits.connections;
     let rules = agreed::start(&loaded, clock, &executor)?;
     let agreed = rules.as_ref().map(|r| r.agreed.clone());
-    let held = rules.as_ref().map(|r| r.held.clone());
-    let (engine, handle) = oauth::engine(loaded, rand::random(), clock, executor.clone(), talker, held)
+    let under = rules.as_ref().map(|r| (r.agreed.clone(), r.held.clone()));
+    let (engine, handle) = oauth::engine(loaded, rand::random(), clock, executor.clone(), talker, under)
         .map_err(|e| e.to_string())?;
     if let Some(rules) = &rules {
         rules.keep(&handle, &executor);
--- a/crates/gateway/src/oauth.rs
+++ b/crates/gateway/src/oauth.rs
@@ -132,11 +132,11 @@
     clock: Clock,
     executor: Arc<Executor<'static>>,
     peers: Option<Peers>,
-    held: Option<Arc<Held>>,
+    rules: Option<(Agreed, Arc<Held>)>,
 ) -> Result<(Engine, Handle), frostgauge::SettingsError> {
     let now = clock.now();
     let mut core = Core::new(&loaded, seed, now)?;
-    let agreed = held.as_ref().map(|h| h.agreed().clone());
+    let (agreed, held) = rules.unzip();
     if let Some(agreed) = &agreed {
         core.admit_by(Box::new(Gatekeeper::new(agreed.clone(), &loaded)));
         // Until the rules are known, no node may get anything.
--- a/crates/gateway/src/upstream/held.rs
+++ b/crates/gateway/src/upstream/held.rs
@@ -4,10 +4,11 @@
 //! Who finds no slot waits in line, its tenant's before it first. A connection that is given up is shut, and counts until
 //! the node's own end of it has come, or until the node must have dropped it as idle.
 
-use crate::agreed::Agreed;
+use crate::clock::Micros;
 use async_executor::Executor;
 use async_io::Async;
-use frostgauge_budget::Ticket;
+use frostgauge_budget::{Budget, Ticket};
+use frostgauge_fleet::Guard;
 use frostgauge_net::{stands, until, NoLink, Pool, Timed, Way};
 use futures_lite::AsyncReadExt;
 use std::collections::{BTreeMap, VecDeque};
@@ -16,6 +17,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Where connections are counted, and the time that goes with it.
+pub trait Book: Send + Sync {
+    /// The time now, as the guard goes by it.
+    fn now(&self) -> Micros;
+    /// What stands before each attempt. To be held for a look, not longer.
+    fn guard(&self) -> MutexGuard<'_, Guard>;
+}
+
+/// A connection that was shut where no budget says how long it may stand at its node.
+const OUTLIVES: Duration = Duration::from_secs(5);
 /// Requests that may wait for a slot.
 const WAITING: usize = 4_096;
 
@@ -43,7 +54,7 @@
 
 /// The connections of a gateway.
 pub struct Held {
-    agreed: Agreed,
+    book: Arc<dyn Book>,
     executor: Arc<Executor<'static>>,
     pool: Pool,
     life: Duration,
@@ -97,13 +108,13 @@
 impl Held {
     /// None yet; those that rest are kept for `life` at most, or as long as the node keeps them.
     pub fn new(
-        agreed: Agreed,
+        book: Arc<dyn Book>,
         executor: Arc<Executor<'static>>,
         source: Option<IpAddr>,
         life: Duration,
     ) -> Arc<Held> {
         let pool = Pool::new(0, Duration::ZERO).from(source);
-        Arc::new(Held { agreed, executor, pool, life, state: Mutex::default() })
+        Arc::new(Held { book, executor, pool, life, state: Mutex::default() })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -111,9 +122,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The rules that they go by.
-    pub fn agreed(&self) -> &Agreed {
-        &self.agreed
+    /// What the budget of a ticket's node says; none: it has none.
+    fn budget<T>(&self, ticket: &Ticket, of: impl Fn(&Budget) -> T) -> Option<T> {
+        let policy = self.book.guard().budgets(self.book.now()).filter(|_| ticket.needs)?;
+        policy.policy().budgets.get(&ticket.group).map(of)
+    }
+
+    /// How long one may rest.
+    fn rests(&self, ticket: &Ticket) -> Duration {
+        let most = self.budget(ticket, |b| Duration::from_millis(b.rest_ms()));
+        most.map_or(self.life, |most| most.min(self.life))
     }
 
     /// How many rest.
@@ -128,12 +146,12 @@
 
     /// One that rests, for a ticket; for none: for whatever it was opened for.
     fn rested(self: &Arc<Self>, state: &mut State, to: SocketAddr, ticket: Option<&Ticket>) -> Option<Seat> {
-        let now = self.agreed.now();
+        let now = self.book.now();
         let list = state.resting.get_mut(&to)?;
         // Its own first, then the one used last.
         let own = list.iter().rposition(|r| ticket.is_none_or(|t| r.ticket == *t));
         let k = own.or_else(|| list.len().checked_sub(1))?;
-        let mut guard = self.agreed.task().guard();
+        let mut guard = self.book.guard();
         let may = match ticket {
             Some(ticket) if list[k].ticket != *ticket => guard.pass(now, &list[k].ticket, ticket),
             _ => guard.may_use(now, &list[k].ticket),
@@ -151,7 +169,7 @@
         if let Some(seat) = self.rested(state, to, Some(ticket)) {
             return Some(seat);
         }
-        let opened = self.agreed.task().guard().open(self.agreed.now(), ticket);
+        let opened = self.book.guard().open(self.book.now(), ticket);
         opened.then(|| Seat { held: self.clone(), ticket: Some(ticket.clone()), stream: None })
     }
 
@@ -192,14 +210,13 @@
 
     /// Closes what has rested too long, and what is over the gateway's slots.
     pub fn tidy(self: &Arc<Self>) {
-        let now = self.agreed.now();
-        let excess = self.agreed.task().guard().excess(now);
+        let now = self.book.now();
+        let excess = self.book.guard().excess(now);
         let mut shut = vec![];
         let mut state = self.state();
         let State { resting, closing, .. } = &mut *state;
         for list in resting.values_mut() {
-            let life =
-                |r: &Resting| self.agreed.rests(&r.ticket).map_or(self.life, |most| most.min(self.life));
+            let life = |r: &Resting| self.rests(&r.ticket);
             shut.extend(list.extract_if(.., |r| r.since.elapsed() >= life(r)));
         }
         for (place, n) in excess {
@@ -244,7 +261,8 @@
     }
 
     fn end(self: Arc<Self>, ticket: Ticket, stream: Option<Arc<Async<TcpStream>>>) {
-        let patience = self.agreed.outlives(&ticket);
+        let most = self.budget(&ticket, |b| Duration::from_millis(b.attempt_ms + b.idle_ms));
+        let patience = most.unwrap_or(OUTLIVES);
         let executor = self.executor.clone();
         let work = async move {
             if let Some(stream) = stream {
@@ -259,7 +277,7 @@
                     }
                 }
             }
-            self.agreed.task().guard().closed(&ticket);
+            self.book.guard().closed(&ticket);
             self.serve();
         };
         executor.spawn(work).detach();
@@ -289,8 +307,8 @@
 impl Paid {
     /// For a tenant's request; none: the node may not get it.
     pub fn request(held: &Arc<Held>, to: SocketAddr, tenant: &str, class: &str) -> Option<Paid> {
-        let mut guard = held.agreed.task().guard();
-        let now = held.agreed.now();
+        let mut guard = held.book.guard();
+        let now = held.book.now();
         let ticket = guard.ticket(now, tenant, class, to)?;
         guard.wants(now, &ticket);
         drop(guard);
@@ -304,14 +322,14 @@
 
     /// How long a request may be in hand on a connection there, by the budget; none: as long as it likes.
     pub fn longest(&self) -> Option<Duration> {
-        self.held.agreed.attempt(self.ticket.as_ref()?)
+        self.held.budget(self.ticket.as_ref()?, |b| Duration::from_millis(b.attempt_ms))
     }
 
     /// A seat, waited for until then if there is none now.
     async fn seat(&self, limit: Instant) -> Option<Seat> {
         let Some(ticket) = &self.ticket else {
-            let mut guard = self.held.agreed.task().guard();
-            let now = self.held.agreed.now();
+            let mut guard = self.held.book.guard();
+            let now = self.held.book.now();
             let ticket = guard.any_ticket(now, self.to).filter(|t| guard.open(now, t))?;
             drop(guard);
             return Some(Seat { held: self.held.clone(), ticket: Some(ticket), stream: None });
@@ -351,8 +369,8 @@
 impl Drop for Paid {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket.as_ref().filter(|_| self.wanted) {
-            let now = self.held.agreed.now();
-            self.held.agreed.task().guard().done(now, ticket);
+            let now = self.held.book.now();
+            self.held.book.guard().done(now, ticket);
         }
     }
 }
@@ -393,9 +411,9 @@
     }
 
     fn back(&self, mut link: Link) {
-        let now = self.held.agreed.now();
+        let now = self.held.book.now();
         let Some(ticket) = link.seat.ticket.take() else { return };
-        if !self.held.agreed.task().guard().may_use(now, &ticket) {
+        if !self.held.book.guard().may_use(now, &ticket) {
             // Too many: this one goes.
             link.seat.ticket = Some(ticket);
             return;
