A gateway told to end closes its connections, gives its slots back, and the next has them at once

Need: after each SIGTERM what a gateway held was nobody's for an attempt and an idle limit, in a rolling restart a tenth of the fleet's. Change: a process that is about to end may open nothing, shuts what rests, and says that it has left once all is closed at the nodes; the log frees its slots, its ground too, and its life does not come back. Given up after a lease. The search draws such ends.

--- a/crates/accord/src/follower.rs
+++ b/crates/accord/src/follower.rs
@@ -155,6 +155,11 @@
         self.report = Some(report);
     }
 
+    /// Asks at the next chance.
+    pub fn ask_now(&mut self, now: Micros) {
+        self.next_ask = self.next_ask.min(now);
+    }
+
     /// What the keepers have told of its gateway's slots.
     pub fn tells(&self) -> &Arc<Tells> {
         &self.tells
--- a/crates/accord/src/grants.rs
+++ b/crates/accord/src/grants.rs
@@ -48,6 +48,13 @@
         /// Where, how many.
         words: Vec<(Place, u32)>,
     },
+    /// A gateway's process has closed all that it had, and opens nothing any more.
+    Left {
+        /// The gateway.
+        gateway: Gateway,
+        /// Of its process.
+        life: u64,
+    },
     /// A keeper's word.
     Over {
         /// The keeper.
@@ -147,6 +154,12 @@
                     }
                 }
             }
+            Change::Left { gateway, life } => {
+                if self.ledger.life(gateway) == Some(life) {
+                    self.rounds.entry(gateway).or_default().end();
+                    self.ledger.left(gateway);
+                }
+            }
             Change::Over { keeper, nonce, gateway, round, word } => {
                 if keepers.contains(&keeper) && self.knows(keeper, nonce) {
                     self.over(keeper, gateway, round, word, keepers.len());
--- a/crates/accord/src/teller.rs
+++ b/crates/accord/src/teller.rs
@@ -44,6 +44,7 @@
     Said(Gateway, u64, Word),
     Back(Gateway, u64),
     Begin(Gateway, u64),
+    Left(Gateway, u64),
     Returned(Gateway, u64),
     Deal(u64),
 }
@@ -228,11 +229,14 @@
         let ledger = machine.grants().ledger();
         let mut begins = vec![];
         let mut returned = vec![];
+        let mut left = vec![];
         for (gateway, heard) in self.heard.iter().filter(|(_, h)| h.at >= lately) {
             if ledger.life(*gateway) != Some(heard.life) {
                 if !ledger.replaced(*gateway, heard.life) {
                     begins.push((*gateway, heard.life));
                 }
+            } else if heard.report.left {
+                left.push((*gateway, heard.life));
             } else if heard.report.seen >= ledger.epoch(*gateway) {
                 let counts = heard.report.words.iter().any(|(place, open)| {
                     let slots = ledger.slots(place, *gateway);
@@ -246,6 +250,9 @@
         for (gateway, life) in begins {
             self.once(now, Made::Begin(gateway, life), &mut changes, || Change::Begin { gateway, life });
         }
+        for (gateway, life) in left {
+            self.once(now, Made::Left(gateway, life), &mut changes, || Change::Left { gateway, life });
+        }
         for (gateway, life, seen, words) in returned {
             self.once(now, Made::Returned(gateway, seen), &mut changes, || Change::Returned {
                 gateway,
--- a/crates/budget/src/holdings.rs
+++ b/crates/budget/src/holdings.rs
@@ -48,6 +48,8 @@
     pub dark: BTreeSet<String>,
     /// No earlier process of it runs any more.
     pub alone: bool,
+    /// It has nothing open anywhere, and opens nothing any more: it is about to end.
+    pub left: bool,
 }
 
 impl Report {
@@ -182,6 +184,7 @@
 pub struct Holdings {
     tells: Arc<Tells>,
     open: BTreeMap<Place, u32>,
+    leaving: bool,
 }
 
 impl Holdings {
@@ -190,8 +193,16 @@
         self.tells = tells;
     }
 
+    /// It is about to end: from now on it may have nothing open.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// How many it may have open at a place now.
     pub fn most(&self, now: u64, place: &Place) -> u32 {
+        if self.leaving {
+            return 0;
+        }
         self.tells.most(now, place)
     }
 
@@ -262,7 +273,7 @@
     /// `budgeted`: servers, and budgets by name, that take slots.
     pub fn excess(&self, now: u64, budgeted: impl Fn(&Place) -> bool) -> Vec<(Place, u32)> {
         let over = self.open.iter().filter(|(place, _)| budgeted(place)).filter_map(|(place, open)| {
-            let over = open.saturating_sub(self.tells.most(now, place));
+            let over = open.saturating_sub(self.most(now, place));
             (over > 0).then(|| (place.clone(), over))
         });
         over.collect()
@@ -270,9 +281,11 @@
 
     /// What is told to the keepers: under which epoch, and how many are open where slots are being called back.
     pub fn report(&self) -> Report {
+        let left = self.leaving && self.open.is_empty();
         let called = self.tells.places().filter(|(_, s)| s.to < s.held || s.ground > s.to);
         let words = called.map(|(place, _)| (place.clone(), self.opened(place)));
-        Report { seen: self.tells.epoch(), words: words.take(MOST_WORDS).collect(), ..Report::default() }
+        let words = words.take(MOST_WORDS).collect();
+        Report { seen: self.tells.epoch(), words, left, ..Report::default() }
     }
 }
 
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -358,6 +358,12 @@
 
     /// A gateway has gone for good, and its connections with it.
     pub fn gone(&mut self, gateway: Gateway) {
+        self.left(gateway);
+        self.past_ended(gateway);
+    }
+
+    /// A gateway's process has closed all that it had, and opens nothing any more.
+    pub fn left(&mut self, gateway: Gateway) {
         for held in self.places.values_mut() {
             held.slots.remove(&gateway);
         }
@@ -365,7 +371,7 @@
         if let Some(lives) = self.lives.get_mut(&gateway) {
             lives.end();
         }
-        self.past_ended(gateway);
+        self.tidy();
         self.touch(gateway);
     }
 
--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -236,6 +236,16 @@
         self.slots.excess(now, |server| servers.contains_key(server), false).is_empty()
     }
 
+    /// The process is about to end: from now on it may have nothing open, and says so once it is so.
+    pub fn leave(&mut self) {
+        self.slots.leave();
+    }
+
+    /// Whether its gateway has any slots.
+    pub fn has_any(&self) -> bool {
+        self.view.slots.places().next().is_some()
+    }
+
     /// Whether nothing is open anywhere.
     pub fn closed_all(&self) -> bool {
         self.slots.closed_all()
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -233,6 +233,11 @@
         now >= self.follower.next_wake()
     }
 
+    /// Asks at the next wake.
+    pub fn ask_now(&mut self, now: Micros) {
+        self.follower.ask_now(now);
+    }
+
     /// Servers with a budget under the version that it is to stand on next: before it has closed what it has no slots
     /// for there, the keepers must not count on it.
     pub fn to_bind(&self) -> BTreeMap<String, bool> {
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -41,6 +41,8 @@
     Keepers(f64),
     /// A gateway fails under the next version.
     Sick(Gateway),
+    /// Told to end, and after a time ended, and started.
+    Leave(Gateway, f64),
     /// Servers hold half as many connections as before, or twice as many, by a new version.
     Budget(Gateway, bool),
 }
@@ -136,6 +138,12 @@
         let (at, by) = (rng.random_range(0.0..LENGTH), rng.random_range(1..=gateways));
         faults.push((at, Fault::Budget(by, rng.random())));
     }
+    if connections.is_some() {
+        for _ in 0..rng.random_range(0..3) {
+            let (at, who) = (rng.random_range(0.0..LENGTH), rng.random_range(1..=gateways));
+            faults.push((at, Fault::Leave(who, rng.random_range(0.05..3.0))));
+        }
+    }
     faults.sort_by(|a, b| a.0.total_cmp(&b.0));
     Schedule { seed, gateways, keepers, connections, faults }
 }
@@ -232,6 +240,7 @@
             | Fault::Weather(_, _, _, t)
             | Fault::Drain(_, t)
             | Fault::Keepers(t)
+            | Fault::Leave(_, t)
             | Fault::Slow(_, _, t)
             | Fault::Flap(_, _, t) => *t,
             _ => 0.0,
@@ -296,6 +305,11 @@
     let cut =
         |world: &mut World, a: Gateway, b: Gateway| if over { world.mend(a, b) } else { world.cut(a, b) };
     match fault {
+        Fault::Leave(who, _) if over => {
+            world.kill(*who, false);
+            world.start(*who);
+        }
+        Fault::Leave(who, _) => world.leave(*who),
         Fault::Pause(who, _) if over => world.resume(*who),
         Fault::Pause(who, _) => world.pause(*who),
         Fault::Kill(who, _, _) | Fault::LoseDisk(who, _) if over => world.start(*who),
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -40,6 +40,10 @@
         self.holdings.put(tells);
     }
 
+    pub(crate) fn leave(&mut self) {
+        self.holdings.leave();
+    }
+
     pub(crate) fn open(&mut self, now: Micros, ticket: &Ticket) -> bool {
         self.holdings.open(now, ticket)
     }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -42,6 +42,8 @@
     Propose(Box<Proposal>, Sender<Option<Outcome>>),
     /// An operator's word, said to every keeper.
     Operate(Message),
+    /// Ask the keepers now: something has changed here.
+    Ask,
     /// How things stand.
     Status(Sender<Value>),
     /// A version of the record; the latest that is known here, if no number is given.
@@ -311,6 +313,7 @@
 
     fn mail(&mut self, at: Micros, mail: Mail, process: &mut Running, post: &mut Post) {
         match mail {
+            Mail::Ask => process.ask_now(at),
             Mail::Report(version, well) => process.report(version, well),
             Mail::Propose(proposal, reply) => {
                 if self.proposals.len() >= PROPOSALS {
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -559,6 +559,13 @@
         }
     }
 
+    /// A process is told to end, as by SIGTERM: it closes what it has, and says so. It is killed apart.
+    pub fn leave(&mut self, who: Gateway) {
+        if let Some(guard) = self.guard_of(who) {
+            guard.leave();
+        }
+    }
+
     /// Only these tenants' requests come to a gateway from now on.
     pub fn only(&mut self, who: Gateway, tenants: &[&str]) {
         if let Some(m) = self.machines.get_mut(&who) {
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -111,6 +111,26 @@
     sums_fit(s.after(5.0));
 }
 
+#[test]
+fn a_process_told_to_end_gives_all_back_first_and_the_next_has_nothing_to_wait_for() {
+    let mut s = given(fleet(5, 3)).after(3.0);
+    let held = |s: &mut Story, who: Gateway| {
+        let machine = s.world().process(1).and_then(|p| p.keeper()).and_then(|k| k.machine().cloned());
+        let ledger = machine.map(|m| m.grants().ledger().clone()).expect("a keeper");
+        (ledger.of(who).1.len(), ledger.past(who))
+    };
+    for gateway in [4, 5, 2] {
+        assert!(held(&mut s, gateway).0 > 0);
+        s.world().leave(gateway);
+        s = s.after(2.0);
+        assert_eq!((open_of(&mut s, gateway), held(&mut s, gateway)), (0, (0, (false, false))));
+        s = s.when_killed(&[gateway]).after(0.1).when_started(&[gateway]).after(4.0);
+        let (slots, past) = held(&mut s, gateway);
+        assert!(slots > 0 && past == (false, false), "{slots} {past:?}");
+    }
+    sums_fit(s);
+}
+
 #[test]
 fn a_budget_halved_while_full_is_kept_once_the_rest_is_back_and_doubled_is_used() {
     let s = given(fleet(6, 6)).after(5.0).when_published(|r| {
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -114,6 +114,24 @@
         executor.spawn(keep.run()).detach();
     }
 
+    /// Closes all connections to nodes and tells the keepers, so that what this process held is another's at once. Given up
+    /// after a lease: then keepers wait until all is surely over.
+    pub async fn leave(&self) {
+        if !self.agreed.task.guard().has_any() {
+            return;
+        }
+        self.held.leave();
+        let tuning = self.agreed.tuning;
+        let end = self.agreed.clock.now() + tuning.lease;
+        while !self.agreed.task.guard().closed_all() && self.agreed.clock.now() < end {
+            Timer::after(Duration::from_micros(tuning.tick)).await;
+        }
+        if self.agreed.task.say(Mail::Ask) {
+            // To the keepers and through their log.
+            Timer::after(Duration::from_micros(tuning.ask)).await;
+        }
+    }
+
     /// Ends the task and its links.
     pub fn end(self) {
         drop(self.links);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -152,6 +152,7 @@
     drop(stop_staff);
     let _ = decisions.join();
     if let Some(rules) = rules {
+        future::block_on(rules.leave());
         rules.end();
     }
     drop(stop_threads);
--- a/crates/gateway/src/upstream/held.rs
+++ b/crates/gateway/src/upstream/held.rs
@@ -239,6 +239,12 @@
         self.serve();
     }
 
+    /// Closes all that rests, for good: what is out is closed as it comes back.
+    pub fn leave(self: &Arc<Self>) {
+        self.book.guard().leave();
+        self.keep(&[]);
+    }
+
     /// Closes what rests to addresses that are not among these.
     pub fn keep(self: &Arc<Self>, wanted: &[SocketAddr]) {
         let mut gone = vec![];
