--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -236,6 +236,11 @@
         self.slots.excess(now, |server| servers.contains_key(server), false).is_empty()
     }
 
+    /// Zones that are dark from here, for the conditions of budgets.
+    pub fn dark(&mut self, zones: BTreeSet<String>) {
+        self.slots.dark(zones);
+    }
+
     /// The process is about to end: from now on it may have nothing open, and says so once it is so.
     pub fn leave(&mut self) {
         self.slots.leave();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod guard;
 mod process;
 pub mod search;
+pub mod shares;
 mod slots;
 mod story;
 pub mod task;
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -3,6 +3,7 @@
 
 use frostgauge_accord::Micros;
 use frostgauge_budget::{Compiled, Demand, Holder, Holdings, Place, Report, Tells, Ticket};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// What is wanted is what was wanted at once in the last one or two of these, microseconds.
@@ -27,11 +28,12 @@
 pub(crate) struct Slots {
     holdings: Holdings,
     demand: Demand,
+    dark: BTreeSet<String>,
 }
 
 impl Default for Slots {
     fn default() -> Slots {
-        Slots { holdings: Holdings::default(), demand: Demand::new(WINDOW) }
+        Slots { holdings: Holdings::default(), demand: Demand::new(WINDOW), dark: BTreeSet::new() }
     }
 }
 
@@ -40,6 +42,10 @@
         self.holdings.put(tells);
     }
 
+    pub(crate) fn dark(&mut self, zones: BTreeSet<String>) {
+        self.dark = zones;
+    }
+
     pub(crate) fn leave(&mut self) {
         self.holdings.leave();
     }
@@ -109,7 +115,7 @@
 
     pub(crate) fn report(&mut self, now: Micros) -> Report {
         let (wants, groups) = self.demand.wants(now);
-        Report { wants, groups, ..self.holdings.report() }
+        Report { wants, groups, dark: self.dark.clone(), ..self.holdings.report() }
     }
 
     pub(crate) fn closed_all(&self) -> bool {
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -6,6 +6,7 @@
 
 use crate::guard::{Guard, View};
 use crate::process::{Process, Start, Transport};
+use crate::shares;
 use async_channel::{Receiver, Sender};
 use frostgauge_accord::{Gateway, Keeper, Message, Micros, Number, Outcome, Proposal, Rules, Under};
 use frostgauge_budget::Report;
@@ -46,6 +47,8 @@
     Ask,
     /// How things stand.
     Status(Sender<Value>),
+    /// Who may have how many connections, and by which rules; none: it is no keeper, or there are no budgets.
+    Shares(Sender<Option<Value>>),
     /// A version of the record; the latest that is known here, if no number is given.
     Version(Option<Number>, Sender<Option<(Number, Rules)>>),
     /// The end.
@@ -329,6 +332,10 @@
                 }
             }
             Mail::Status(reply) => drop(reply.try_send(self.status(at, process))),
+            Mail::Shares(reply) => {
+                let machine = process.keeper().and_then(Keeper::machine);
+                let _ = reply.try_send(machine.and_then(shares::told));
+            }
             Mail::Version(number, reply) => {
                 let machine = process.keeper().and_then(Keeper::machine);
                 let number = number.or_else(|| {
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -559,6 +559,14 @@
         }
     }
 
+    /// Zones that some gateways see dark from now on.
+    pub fn dark(&mut self, some: &[Gateway], zones: &[&str]) {
+        let zones: BTreeSet<String> = zones.iter().map(|z| (*z).to_owned()).collect();
+        for who in some {
+            self.guard_of(*who).into_iter().for_each(|g| g.dark(zones.clone()));
+        }
+    }
+
     /// A process is told to end, as by SIGTERM: it closes what it has, and says so. It is killed apart.
     pub fn leave(&mut self, who: Gateway) {
         if let Some(guard) = self.guard_of(who) {
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -2,8 +2,9 @@
 //! servers had open.
 
 use frostgauge_accord::{Gateway, Message, Outcome, Rules};
-use frostgauge_budget::{Holder, Place, MOST_CONNECTIONS};
-use frostgauge_fleet::{given, Given, Story, SECOND};
+use frostgauge_budget::{Condition, Holder, Place, Rule, Select, Set, MOST_CONNECTIONS};
+use frostgauge_fleet::{given, shares, Given, Story, SECOND};
+use serde_json::json;
 
 const TENANTS: [&str; 3] = ["norte", "sul", "oeste"];
 
@@ -281,3 +282,46 @@
     assert!(ever > 35, "{ever} gateways had a turn in {seconds} s");
     sums_fit(s);
 }
+
+#[test]
+fn every_share_says_which_rules_made_it() {
+    let mut s = given(fleet(5, 10));
+    let machine = s.world().process(1).and_then(|p| p.keeper()).and_then(|k| k.machine().cloned());
+    let told = shares::told(&machine.expect("a keeper")).expect("there are budgets");
+    let group = &told["groups"]["all"];
+    assert_eq!(group["servers"]["s1"]["connections"], 10);
+    let oeste = group["holders"].as_array().and_then(|all| all.iter().find(|h| h["tenant"] == "oeste"));
+    let oeste = oeste.expect("told");
+    assert_eq!((&oeste["terms"]["floor"], &oeste["by"]["floor"]), (&json!(12), &json!("everyone")));
+    assert_eq!((&oeste["terms"]["weight"], &oeste["by"]["weight"]), (&json!(2), &json!("large")));
+    assert_eq!(oeste["by"].get("ceiling"), None, "no rule made it");
+    let none = given(Given::fleet(3, 3)).world().process(1).and_then(|p| p.keeper()?.machine().cloned());
+    assert_eq!(shares::told(&none.expect("a keeper")), None);
+}
+
+#[test]
+fn a_zone_that_most_gateways_see_dark_is_a_condition_that_holds() {
+    let with = |r: &mut Rules| {
+        r.budgets
+            .conditions
+            .insert("dark".into(), Condition::ZoneDark { zone: String::new(), for_ms: 500, over_ms: 1_000 });
+        let set = Set { weight: Some(5), ..Set::default() };
+        let when = ["dark".to_owned()].into();
+        r.budgets.rules.push(Rule { name: "dark".into(), select: Select::default(), when, set });
+    };
+    let mut s = given(fleet(5, 4)).when_published(with).after(5.0).then_all_are_under(2);
+    let holds = |s: &mut Story| {
+        let machine = s.world().process(1).and_then(|p| p.keeper()).and_then(|k| k.machine().cloned());
+        machine.is_some_and(|m| m.grants().hold().contains("dark"))
+    };
+    s.world().dark(&[4, 5], &[""]);
+    let mut s = s.after(3.0);
+    assert!(!holds(&mut s), "two of five");
+    s.world().dark(&[2, 3], &[""]);
+    let mut s = s.after(3.0);
+    assert!(holds(&mut s));
+    s.world().dark(&[2, 3, 4, 5], &[]);
+    let mut s = s.after(4.0);
+    assert!(!holds(&mut s));
+    sums_fit(s);
+}
--- a/crates/gateway/src/oauth.rs
+++ b/crates/gateway/src/oauth.rs
@@ -16,8 +16,9 @@
 use frostgauge_proto::http::{write_request, Body, Limits};
 use frostgauge_proto::introspection;
 use frostgauge_settings::Loaded;
+use frostgauge_zones::Phase;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
@@ -447,8 +448,12 @@
 
     fn publish_zones(&self, now: Micros, core: &Core) {
         let (Some(zones), loaded) = (core.zones(), self.handle.loaded()) else { return };
+        let mut dark = BTreeSet::new();
         for (k, name) in loaded.file.zones.iter().enumerate() {
             let Some(s) = zones.standing(now, k as u32) else { continue };
+            if s.phase == Phase::Dark {
+                dark.insert(name.clone());
+            }
             for (what, value) in [
                 ("open", s.open),
                 ("health", s.health),
@@ -459,6 +464,9 @@
                 metrics::gauge!("frostgauge_zone", "zone" => name.clone(), "what" => what).set(value);
             }
         }
+        if let Some(agreed) = &self.agreed {
+            agreed.task().guard().dark(dark);
+        }
     }
 
     fn zone_rows(&self, now: Micros, core: &Core, loaded: &Loaded) -> Vec<Value> {
--- a/crates/gateway/src/staff_rules.rs
+++ b/crates/gateway/src/staff_rules.rs
@@ -68,6 +68,13 @@
             Some(status) => page(200, &status),
             None => page(503, &json!({ "error": "the task does not answer" })),
         },
+        ("GET", "/shares") => match agreed.task().ask(Mail::Shares, SOON).await {
+            Some(Some(shares)) => page(200, &shares),
+            Some(None) => {
+                page(404, &json!({ "error": "no keeper, or no budgets: GET /accord names the keepers" }))
+            }
+            None => page(503, &json!({ "error": "the task does not answer" })),
+        },
         ("GET", rest) if rest.starts_with("/rules") => rules(agreed, rest).await,
         ("POST", "/publish") => publish(agreed, body).await.unwrap_or_else(|page| page),
         ("POST", "/withdraw") => match read::<Withdraw>(body) {
@@ -87,7 +94,7 @@
         },
         _ => page(
             404,
-            &json!({ "error": "GET /accord, /accord/rules[/N]; POST /accord/publish, /withdraw, /retire, /keepers" }),
+            &json!({ "error": "GET /accord, /accord/rules[/N], /accord/shares; POST /accord/publish, /withdraw, /retire, /keepers" }),
         ),
     })
 }
