The fleet in memory in four files: what it is given, its work, its troubles, its wires

Change: given.rs, work.rs, troubles.rs beside wire.rs; no line changed but for visibility. Measured: the tests of the fleet pass.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod checks;
 mod confirm;
+mod given;
 mod guard;
 mod process;
 pub mod search;
@@ -13,14 +14,17 @@
 mod story;
 pub mod task;
 mod trial;
+mod troubles;
 mod wire;
+mod work;
 mod world;
 
 pub use checks::{Act, Checks};
 pub use confirm::Confirmed;
 pub use frostgauge_budget::Ticket;
+pub use given::{Given, Plant};
 pub use guard::{Allows, Guard, Leased, No, View};
 pub use process::{Permit, Process, Start, Transport};
 pub use story::{given, Story};
 pub use trial::Trial;
-pub use world::{Given, Plant, Weather, World, SECOND};
+pub use world::{Weather, World, SECOND};
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -1,6 +1,7 @@
 //! Faults drawn by the thousand, played in virtual time, and what is found made short.
 
-use crate::world::{Given, Plant, Weather, World, SECOND};
+use crate::given::{Given, Plant};
+use crate::world::{Weather, World, SECOND};
 use frostgauge_accord::{Gateway, Message, Micros, Number, Outcome, Rules, State};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
--- a/crates/fleet/src/story.rs
+++ b/crates/fleet/src/story.rs
@@ -3,7 +3,8 @@
 //! Every word either does one thing or asserts one thing, and panics with what was seen where it does not hold: a
 //! story is a test.
 
-use crate::world::{Given, Weather, World, SECOND};
+use crate::given::Given;
+use crate::world::{Weather, World, SECOND};
 use frostgauge_accord::{Gateway, Message, Micros, Number, Outcome, Rules, Under};
 use std::collections::BTreeSet;
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,7 +1,8 @@
 //! Connections as the servers of the fleet in memory see them, and what they are judged by: how many are open at each,
 //! against the budgets of the versions in force.
 
-use crate::world::{Plant, World, SECOND};
+use crate::given::Plant;
+use crate::world::{World, SECOND};
 use frostgauge_accord::{Gateway, Machine, Micros, Number};
 use frostgauge_budget::Ticket;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -4,15 +4,12 @@
 //! Everything is drawn from a seed, and the same seed gives the same run. What is judged (see [`Checks`]) is what the
 //! servers saw and what the editors were told.
 
-use crate::checks::{Act, Checks};
-use crate::guard::Guard;
-use crate::process::{Permit, Process, Start, Transport};
+use crate::checks::Checks;
+use crate::given::{Given, Plant};
+use crate::process::{Permit, Process, Transport};
 use crate::wire::{Wire, Wired};
-use frostgauge_accord::{
-    Class, Gateway, Keeper, Message, Micros, Number, Outcome, Plan, Proposal, Rules, Server, Settings, State,
-    Tenant, Tuning, Under, FORMAT,
-};
-use frostgauge_budget::{Budget, Lend, Policy, Report, Rule, Select, Set, Ticket};
+use frostgauge_accord::{Gateway, Keeper, Message, Micros, Number, Outcome, Proposal, Rules, Tuning, Under};
+use frostgauge_budget::{Report, Ticket};
 use frostgauge_storage::sim::{Plan as DiskPlan, SimDisk};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -21,149 +18,13 @@
 
 /// A second, in microseconds.
 pub const SECOND: Micros = 1_000_000;
-/// An idle connection is closed by its server after this.
-const IDLE: Micros = 2_000_000;
-/// A request looks so often again for a free slot, a beat apart.
-const TRIES: u8 = 8;
 /// Gateways look for work this often.
-const BEAT: Micros = 50_000;
+pub(crate) const BEAT: Micros = 50_000;
 /// Bytes that wait for a stopped process, messages: the rest is lost, as in a full buffer of a socket.
 const WAITING: usize = 4_096;
 
-/// A fault that is planted, so that a check can be shown to find it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Plant {
-    /// Followers count leases from the answer.
-    LeaseFromAnswer,
-    /// One keeper's grant is a lease.
-    OneIsEnough,
-    /// Keepers that start speak of their leases at once.
-    NoQuarantine,
-    /// Keepers take leases to be over at once.
-    NoWait,
-    /// A gateway sends without a second look.
-    NoSecondLook,
-    /// Disks of keepers say that they have synced, and have not.
-    LyingDisks,
-    /// A keeper that lost its disk is founded anew.
-    FoundedAnew,
-    /// Slots are given anew once the lease is over, before the server's idle limit.
-    BeforeIdle,
-    /// A connection closed here counts as closed at the server.
-    ClosedHere,
-    /// Gateways open connections without a slot.
-    NoSlots,
-}
-
-impl Plant {
-    /// All of them, by name.
-    pub const ALL: [(&'static str, Plant); 10] = [
-        ("lease-from-answer", Plant::LeaseFromAnswer),
-        ("one-is-enough", Plant::OneIsEnough),
-        ("no-quarantine", Plant::NoQuarantine),
-        ("no-wait", Plant::NoWait),
-        ("no-second-look", Plant::NoSecondLook),
-        ("lying-disks", Plant::LyingDisks),
-        ("founded-anew", Plant::FoundedAnew),
-        ("before-idle", Plant::BeforeIdle),
-        ("closed-here", Plant::ClosedHere),
-        ("no-slots", Plant::NoSlots),
-    ];
-}
-
-/// What a fleet is built from.
-#[derive(Clone, Debug)]
-pub struct Given {
-    /// Gateways, numbered from 1.
-    pub gateways: u16,
-    /// Keepers among them: the first so many.
-    pub keepers: u16,
-    /// Servers, `s1` and on.
-    pub servers: u16,
-    /// Times.
-    pub settings: Settings,
-    /// Of all draws.
-    pub seed: u64,
-    /// A fault that is planted.
-    pub plant: Option<Plant>,
-    /// Gateways do work, and servers keep their ledger.
-    pub traffic: bool,
-    /// Connections that each server holds from the fleet, shared by policy; none: as many as come.
-    pub connections: Option<u32>,
-    /// Tenants beside the three that are always there, without floors.
-    pub more_tenants: u16,
-}
-
-impl Given {
-    /// So many gateways, the first few of them keepers.
-    pub fn fleet(gateways: u16, keepers: u16) -> Given {
-        let settings = Settings::default();
-        let (servers, seed, plant, traffic, connections, more_tenants) = (6, 1, None, true, None, 0);
-        Given { gateways, keepers, servers, settings, seed, plant, traffic, connections, more_tenants }
-    }
-
-    /// The rules that the fleet begins with: three tenants with floors, two classes, servers all ready. Parts are
-    /// large enough that a fleet of hundreds has whole thousandths.
-    pub fn rules(&self) -> Rules {
-        let class = |cost_milli, repeatable| Class { cost_milli, repeatable, ground: true };
-        let all: BTreeSet<String> = ["read", "report"].map(str::to_owned).into();
-        let n = u64::from(self.gateways);
-        let tenant =
-            |plan: &str, floor| Tenant { plan: plan.into(), classes: all.clone(), floor_milli: floor };
-        let server = |k: u16| {
-            let address = format!("10.0.{}.{}:80", k / 250, k % 250 + 1);
-            (format!("s{k}"), Server { address, state: State::Ready, zone: String::new() })
-        };
-        Rules {
-            format: FORMAT,
-            classes: [("read".into(), class(1_000, true)), ("report".into(), class(2_000, false))].into(),
-            plans: [
-                ("small".into(), Plan { rate_milli: 4_000 * n, ceiling_milli: Some(6_000 * n) }),
-                ("large".into(), Plan { rate_milli: 8_000 * n, ceiling_milli: None }),
-            ]
-            .into(),
-            tenants: [
-                ("norte".into(), tenant("small", 1_000)),
-                ("sul".into(), tenant("small", 1_000)),
-                ("oeste".into(), tenant("large", 2_000)),
-            ]
-            .into_iter()
-            .chain((1..=self.more_tenants).map(|k| (format!("t{k}"), tenant("small", 0))))
-            .collect(),
-            servers: (1..=self.servers).map(server).collect(),
-            gateways: (1..=self.gateways).collect(),
-            budgets: self.connections.map_or_else(Policy::default, |n| self.budgets(n)),
-        }
-    }
-
-    /// One budget for all servers: a fifth of it is the floor of each tenant, half of that kept for ground, and some of
-    /// it may be lent.
-    fn budgets(&self, connections: u32) -> Policy {
-        // No floors where tenants are many: they would not fit.
-        let floor = if self.more_tenants > 0 { 0 } else { connections * u32::from(self.servers) / 5 };
-        let budget = Budget { zone: None, connections, idle_ms: IDLE / 1_000, attempt_ms: 400, turn_ms: 500 };
-        let lend = Some(Lend { up_to: floor / 4, back_ms: 5_000 });
-        let all = Set { floor: Some(floor), ground: Some(floor / 2), lend, ..Set::default() };
-        let large = Set { weight: Some(2), ..Set::default() };
-        let select = Select { plans: ["large".to_owned()].into(), ..Select::default() };
-        Policy {
-            budgets: [("all".to_owned(), budget)].into(),
-            rules: vec![
-                Rule { name: "everyone".into(), select: Select::default(), when: BTreeSet::new(), set: all },
-                Rule { name: "large".into(), select, when: BTreeSet::new(), set: large },
-            ],
-            ..Policy::default()
-        }
-    }
-}
-
-/// Without a stride: what is picked by it does not go by what else is picked.
-fn mixed(n: u64) -> usize {
-    (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize
-}
-
 #[derive(Debug)]
-enum Event {
+pub(crate) enum Event {
     Bytes {
         from: Gateway,
         to: Gateway,
@@ -208,30 +69,27 @@
     },
 }
 
-struct Machine {
-    process: Option<Process<SimDisk>>,
-    boot: u64,
+pub(crate) struct Machine {
+    pub(crate) process: Option<Process<SimDisk>>,
+    pub(crate) boot: u64,
     /// The clock: what it showed at a true time, and how fast it runs, parts of a million off.
-    base: (Micros, Micros),
-    drift_ppm: i64,
-    paused: bool,
-    waiting: Vec<Event>,
-    keeps: Option<SimDisk>,
-    store: Option<SimDisk>,
-    credit: BTreeMap<String, u64>,
-    last_beat: Micros,
-    wake_at: Micros,
-    picks: u64,
+    pub(crate) base: (Micros, Micros),
+    pub(crate) drift_ppm: i64,
+    pub(crate) paused: bool,
+    pub(crate) waiting: Vec<Event>,
+    pub(crate) keeps: Option<SimDisk>,
+    pub(crate) store: Option<SimDisk>,
+    pub(crate) credit: BTreeMap<String, u64>,
+    pub(crate) last_beat: Micros,
+    pub(crate) wake_at: Micros,
+    pub(crate) picks: u64,
     /// Requests take this long from the look to the send.
-    dawdles: Micros,
-    fails_under: Option<Number>,
+    pub(crate) dawdles: Micros,
+    pub(crate) fails_under: Option<Number>,
     /// Only these tenants come to this gateway; none: all.
-    only: Option<BTreeSet<String>>,
+    pub(crate) only: Option<BTreeSet<String>>,
 }
 
-/// A tenant, this gateway's part of its sum, and its classes with what a request counts for.
-type Work = (String, u64, Vec<(String, u64)>);
-
 /// What links do at present.
 #[derive(Clone, Debug)]
 pub struct Weather {
@@ -243,17 +101,17 @@
     pub delay: (Micros, Micros),
 }
 
-struct Net {
-    cuts: BTreeSet<(Gateway, Gateway)>,
-    weather: Weather,
+pub(crate) struct Net {
+    pub(crate) cuts: BTreeSet<(Gateway, Gateway)>,
+    pub(crate) weather: Weather,
     /// When the last message of a link comes: as on a connection, none overtakes another in good weather.
-    last: BTreeMap<(Gateway, Gateway), Micros>,
+    pub(crate) last: BTreeMap<(Gateway, Gateway), Micros>,
     /// Messages to a gateway take so much longer.
-    slow: BTreeMap<Gateway, Micros>,
-    rng: ChaCha8Rng,
-    out: Vec<(Gateway, Vec<u8>)>,
-    bytes: u64,
-    messages: u64,
+    pub(crate) slow: BTreeMap<Gateway, Micros>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) out: Vec<(Gateway, Vec<u8>)>,
+    pub(crate) bytes: u64,
+    pub(crate) messages: u64,
 }
 
 struct Post<'a>(&'a mut Vec<(Gateway, Vec<u8>)>);
@@ -266,28 +124,28 @@
 
 /// A server as it is.
 #[derive(Clone, Copy, Debug)]
-struct Real {
-    up: bool,
-    ready: bool,
+pub(crate) struct Real {
+    pub(crate) up: bool,
+    pub(crate) ready: bool,
 }
 
 /// The fleet.
 pub struct World {
-    given: Given,
-    tuning: Tuning,
-    now: Micros,
-    order: u64,
-    events: BinaryHeap<Reverse<(Micros, u64, usize)>>,
-    slots: Vec<Option<Event>>,
-    free: Vec<usize>,
-    machines: BTreeMap<Gateway, Machine>,
-    net: Net,
-    wire: Wire,
-    servers: BTreeMap<String, Real>,
-    rng: ChaCha8Rng,
-    checks: Checks,
-    next_id: u64,
-    asked: BTreeMap<u64, Proposal>,
+    pub(crate) given: Given,
+    pub(crate) tuning: Tuning,
+    pub(crate) now: Micros,
+    pub(crate) order: u64,
+    pub(crate) events: BinaryHeap<Reverse<(Micros, u64, usize)>>,
+    pub(crate) slots: Vec<Option<Event>>,
+    pub(crate) free: Vec<usize>,
+    pub(crate) machines: BTreeMap<Gateway, Machine>,
+    pub(crate) net: Net,
+    pub(crate) wire: Wire,
+    pub(crate) servers: BTreeMap<String, Real>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) checks: Checks,
+    pub(crate) next_id: u64,
+    pub(crate) asked: BTreeMap<u64, Proposal>,
 }
 
 impl World {
@@ -367,7 +225,7 @@
         world
     }
 
-    fn founded(&mut self) -> SimDisk {
+    pub(crate) fn founded(&mut self) -> SimDisk {
         let keepers = (1..=self.given.keepers).collect();
         let percent = self.given.settings.canary_percent;
         let disk = SimDisk::new(self.rng.random());
@@ -415,14 +273,14 @@
         self.machines.get_mut(&who).and_then(|m| m.process.as_mut()).map(|p| p.look(now).0)
     }
 
-    fn local(&self, who: Gateway) -> Micros {
+    pub(crate) fn local(&self, who: Gateway) -> Micros {
         let Some(m) = self.machines.get(&who) else { return 0 };
         let gone = (self.now - m.base.0) as i128;
         m.base.1 + (gone * i128::from(1_000_000 + m.drift_ppm) / 1_000_000) as Micros
     }
 
     /// The true time at which a process's clock shows `at`.
-    fn truly(&self, who: Gateway, at: Micros) -> Micros {
+    pub(crate) fn truly(&self, who: Gateway, at: Micros) -> Micros {
         let Some(m) = self.machines.get(&who) else { return Micros::MAX };
         if at == Micros::MAX {
             return at;
@@ -432,7 +290,7 @@
         (i128::from(m.base.0) + wait).max(i128::from(self.now) + 1) as Micros
     }
 
-    fn push(&mut self, at: Micros, event: Event) {
+    pub(crate) fn push(&mut self, at: Micros, event: Event) {
         let slot = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
@@ -442,184 +300,7 @@
         self.events.push(Reverse((at, self.order, slot)));
     }
 
-    /// Starts a process that is down, with the disks that it has.
-    pub fn start(&mut self, who: Gateway) {
-        let (now, draw) = (self.local(who), self.rng.random());
-        let keepers: BTreeSet<Gateway> = (1..=self.given.keepers).collect();
-        let Some(m) = self.machines.get_mut(&who).filter(|m| m.process.is_none()) else { return };
-        m.boot += 1;
-        let start = Start { me: who, keepers, tuning: self.tuning, draw, alone: true };
-        let store = m.store.take().unwrap_or_else(|| SimDisk::new(draw));
-        match Process::start(now, start, m.keeps.take(), store) {
-            Ok(process) => m.process = Some(process),
-            Err(why) => self.checks.fault(format!("gateway {who} does not start: {why}")),
-        }
-        m.wake_at = Micros::MAX;
-        m.credit.clear();
-        self.after(who);
-    }
-
-    /// Kills a process; with `power`, what its disks had not synced is lost.
-    pub fn kill(&mut self, who: Gateway, power: bool) {
-        let Some(m) = self.machines.get_mut(&who) else { return };
-        let Some(process) = m.process.take() else { return };
-        (m.paused, m.fails_under) = (false, None);
-        // Its work goes on with the next process; what waited in its sockets does not.
-        let beats = m.waiting.drain(..).filter(|e| matches!(e, Event::Beat { .. })).count();
-        m.boot += 1;
-        let (keeps, store) = process.end();
-        let lies = self.given.plant == Some(Plant::LyingDisks);
-        let settle = |mut disk: SimDisk, lies: bool| {
-            if power {
-                disk.restart();
-            } else {
-                disk.reopen();
-            }
-            disk.plan(DiskPlan { lies, ..DiskPlan::default() });
-            disk
-        };
-        let boot = m.boot - 1;
-        m.keeps = keeps.map(|d| settle(d, lies));
-        m.store = store.map(|d| settle(d, false));
-        (0..beats).for_each(|_| self.push(self.now, Event::Beat { who }));
-        for id in self.wire.of(who, boot) {
-            // Its system closes what it had open; the server hears of that, or not, and closes by its own limit.
-            if !power && self.rng.random_range(0..10) < 7 {
-                let at = self.now + self.rng.random_range(0..10_000);
-                self.push(at, Event::Wire { id, what: Wired::Fin });
-            }
-        }
-    }
-
-    /// A keeper that is down has its disk emptied.
-    pub fn lose_disk(&mut self, who: Gateway) {
-        let founded = (self.given.plant == Some(Plant::FoundedAnew)).then(|| self.founded());
-        let draw = self.rng.random();
-        if let Some(m) = self.machines.get_mut(&who).filter(|m| m.process.is_none()) {
-            m.keeps = Some(founded.unwrap_or_else(|| SimDisk::new(draw)));
-            m.store = None;
-        }
-    }
-
-    /// Something goes wrong with the disk of a keeper that is down, counted from its next start.
-    pub fn spoil_disk(&mut self, who: Gateway, plan: DiskPlan) {
-        let disk = self.machines.get_mut(&who).and_then(|m| m.keeps.as_mut());
-        disk.into_iter().for_each(|d| d.plan(plan));
-    }
-
-    /// A machine that is down comes back with a clock that shows something else.
-    pub fn other_clock(&mut self, who: Gateway, shows: Micros) {
-        let now = self.now;
-        if let Some(m) = self.machines.get_mut(&who).filter(|m| m.process.is_none()) {
-            m.base = (now, shows);
-        }
-    }
-
-    /// Bytes come to a process under somebody's name, as from a link that was shown to be theirs.
-    pub fn inject(&mut self, from: Gateway, to: Gateway, bytes: Vec<u8>) {
-        self.push(self.now + 1, Event::Bytes { from, to, bytes });
-    }
-
-    /// A gateway that is down gets a folder to be a keeper with.
-    pub fn give_disk(&mut self, who: Gateway) {
-        let draw = self.rng.random();
-        if let Some(m) = self.machines.get_mut(&who).filter(|m| m.process.is_none()) {
-            m.keeps.get_or_insert_with(|| SimDisk::new(draw));
-        }
-    }
-
-    /// Stops a process as SIGSTOP does: its clock goes on, its sockets fill.
-    pub fn pause(&mut self, who: Gateway) {
-        if let Some(m) = self.machines.get_mut(&who) {
-            m.paused = true;
-        }
-    }
-
-    /// It goes on where it was, and sees what waits.
-    pub fn resume(&mut self, who: Gateway) {
-        let Some(m) = self.machines.get_mut(&who).filter(|m| m.paused) else { return };
-        m.paused = false;
-        m.last_beat = self.now;
-        for event in std::mem::take(&mut m.waiting) {
-            self.push(self.now, event);
-        }
-    }
-
-    /// Requests of this gateway take so long from the look to the send.
-    pub fn dawdle(&mut self, who: Gateway, time: Micros) {
-        if let Some(m) = self.machines.get_mut(&who) {
-            m.dawdles = time;
-        }
-    }
-
-    /// The gateway fails under a version, and says so where it is asked.
-    pub fn fails_under(&mut self, who: Gateway, version: Number) {
-        if let Some(m) = self.machines.get_mut(&who) {
-            m.fails_under = Some(version);
-        }
-    }
-
-    /// Zones that some gateways see dark from now on.
-    pub fn dark(&mut self, some: &[Gateway], zones: &[&str]) {
-        let zones: BTreeSet<String> = zones.iter().map(|z| (*z).to_owned()).collect();
-        for who in some {
-            self.guard_of(*who).into_iter().for_each(|g| g.dark(zones.clone()));
-        }
-    }
-
-    /// A process is told to end, as by SIGTERM: it closes what it has, and says so. It is killed apart.
-    pub fn leave(&mut self, who: Gateway) {
-        if let Some(guard) = self.guard_of(who) {
-            guard.leave();
-        }
-    }
-
-    /// Only these tenants' requests come to a gateway from now on.
-    pub fn only(&mut self, who: Gateway, tenants: &[&str]) {
-        if let Some(m) = self.machines.get_mut(&who) {
-            m.only = Some(tenants.iter().map(|t| (*t).to_owned()).collect());
-        }
-    }
-
-    /// Nothing comes from one to the other.
-    pub fn cut(&mut self, from: Gateway, to: Gateway) {
-        self.net.cuts.insert((from, to));
-    }
-
-    /// It comes again.
-    pub fn mend(&mut self, from: Gateway, to: Gateway) {
-        self.net.cuts.remove(&(from, to));
-    }
-
-    /// No cut is left.
-    pub fn mend_all(&mut self) {
-        self.net.cuts.clear();
-    }
-
-    /// Messages to a gateway take so much longer from now on.
-    pub fn slow(&mut self, who: Gateway, by: Micros) {
-        self.net.slow.insert(who, by);
-    }
-
-    /// What links do.
-    pub fn weather(&mut self, weather: Weather) {
-        self.net.weather = weather;
-    }
-
-    /// A server is told to drain, and says so from now on; or to take work again.
-    pub fn drain(&mut self, server: &str, drains: bool) {
-        if let Some(real) = self.servers.get_mut(server) {
-            real.ready = !drains;
-            self.checks.server_drains(server, drains);
-        }
-    }
-
-    /// A server appears, ready; or dies.
-    pub fn server(&mut self, server: &str, up: bool) {
-        self.servers.entry(server.to_owned()).or_insert(Real { up, ready: true }).up = up;
-    }
-
-    fn say(&mut self, by: Gateway, to: Gateway, message: Message) {
+    pub(crate) fn say(&mut self, by: Gateway, to: Gateway, message: Message) {
         let now = self.local(by);
         if let Some(p) = self.machines.get_mut(&by).filter(|m| !m.paused).and_then(|m| m.process.as_mut()) {
             p.say(now, to, message, &mut Post(&mut self.net.out));
@@ -750,7 +431,7 @@
     }
 
     /// Takes what a process wants sent, hears what it was told, and notes when it wakes.
-    fn after(&mut self, who: Gateway) {
+    pub(crate) fn after(&mut self, who: Gateway) {
         for (to, bytes) in std::mem::take(&mut self.net.out) {
             self.net.messages += 1;
             self.net.bytes += bytes.len() as u64;
@@ -789,151 +470,6 @@
         }
     }
 
-    /// A gateway looks for work: as much as it may do, at once, evenly over tenants.
-    fn beat(&mut self, who: Gateway, now: Micros) {
-        let next = self.now + BEAT;
-        self.push(next, Event::Beat { who });
-        let Some(m) = self.machines.get_mut(&who) else { return };
-        let gone = self.now - std::mem::replace(&mut m.last_beat, self.now);
-        let (boot, dawdles) = (m.boot, m.dawdles);
-        self.close_excess(who, boot, now);
-        let Some(m) = self.machines.get_mut(&who) else { return };
-        let Some(p) = &mut m.process else { return };
-        let (under, allows) = p.look(now);
-        let allowance = &allows.what;
-        let parts: Vec<Work> = allowance
-            .tenants
-            .iter()
-            .map(|(name, part)| {
-                let class = |c: &String| allowance.classes.get(c).map(|class| (c.clone(), class.cost_milli));
-                (name.clone(), part.sum_milli, part.classes.iter().filter_map(class).collect())
-            })
-            .collect();
-        let servers: Vec<String> = allowance.servers.keys().cloned().collect();
-        let newest = match &under {
-            Under::Lease(set, _) => set.last().copied(),
-            Under::Ground(number) => *number,
-        };
-        let newest = newest.unwrap_or(0);
-        self.checks.parts(self.now, who, newest, parts.iter().map(|(name, sum, _)| (name.as_str(), *sum)));
-        if let Under::Lease(set, _) = &under {
-            if let Some(version) = set.last().filter(|_| set.len() == 1) {
-                let well = m.fails_under != Some(*version);
-                p.report(*version, well);
-            }
-        }
-        let mut permits = vec![];
-        let only = m.only.clone();
-        let comes = |name: &String| only.as_ref().is_none_or(|o| o.contains(name));
-        for (name, sum, classes) in parts.iter().filter(|(name, _, _)| comes(name)) {
-            let credit = m.credit.entry(name.clone()).or_default();
-            // Thousandths of a unit, in millionths of a second; no more than a second's worth is saved up.
-            *credit = (*credit + sum * gone.min(SECOND)).min(sum * SECOND);
-            m.picks = m.picks.wrapping_add(1);
-            let pick = mixed(m.picks);
-            let Some((class, cost)) = classes.get(pick % classes.len().max(1)) else { continue };
-            if *credit >= cost * SECOND {
-                *credit -= cost * SECOND;
-                permits.extend(p.permit(now, name, class, pick / 64));
-            }
-        }
-        // A probe to one server a beat: what it says of itself.
-        m.picks = m.picks.wrapping_add(1);
-        let probe = servers.get(mixed(m.picks) % servers.len().max(1)).cloned();
-        if let Some(server) = probe {
-            self.hears(who, boot, server, now);
-        }
-        for permit in permits {
-            if dawdles == 0 {
-                self.send(who, now, &permit, 0);
-            } else {
-                self.push(self.now + dawdles, Event::Send { who, boot, permit, tries: 0 });
-            }
-        }
-    }
-
-    /// A server that was asked now answers, if it is there.
-    fn hears(&mut self, who: Gateway, boot: u64, server: String, asked: Micros) {
-        if let Some(real) = self.servers.get(&server).filter(|r| r.up) {
-            let at = self.now + self.net.rng.random_range(1_000..=10_000);
-            let ready = real.ready;
-            self.push(at, Event::Heard { who, boot, server, asked, ready });
-        }
-    }
-
-    pub(crate) fn wire(&self) -> &Wire {
-        &self.wire
-    }
-
-    pub(crate) fn wire_mut(&mut self) -> &mut Wire {
-        &mut self.wire
-    }
-
-    pub(crate) fn plant(&self) -> Option<Plant> {
-        self.given.plant
-    }
-
-    pub(crate) fn budgeted(&self) -> bool {
-        self.given.connections.is_some()
-    }
-
-    pub(crate) fn draw(&mut self, from: Micros, to: Micros) -> Micros {
-        self.rng.random_range(from..=to)
-    }
-
-    pub(crate) fn guard_of(&mut self, who: Gateway) -> Option<&mut Guard> {
-        self.machines.get_mut(&who)?.process.as_mut().map(Process::guard)
-    }
-
-    /// What servers go by, whatever the rules say.
-    pub(crate) fn idle_limit(&self) -> Micros {
-        IDLE
-    }
-
-    /// How long what a lease allowed may last after its question.
-    pub(crate) fn outlasts(&self) -> Micros {
-        self.tuning.wait + IDLE + 400_000
-    }
-
-    pub(crate) fn push_wire(&mut self, at: Micros, id: u64, what: Wired) {
-        self.push(at, Event::Wire { id, what });
-    }
-
-    pub(crate) fn push_done(&mut self, at: Micros, who: Gateway, boot: u64, ticket: Ticket) {
-        self.push(at, Event::Done { who, boot, ticket });
-    }
-
-    pub(crate) fn push_closed(&mut self, at: Micros, who: Gateway, boot: u64, ticket: Ticket) {
-        self.push(at, Event::Closed { who, boot, ticket });
-    }
-
-    pub(crate) fn over_budget(&mut self, server: &str, over: u32) {
-        let at = self.now / 1_000;
-        self.checks.fault(format!("{server} has {over} connections over its budget at {at} ms"));
-    }
-
-    fn send(&mut self, who: Gateway, now: Micros, permit: &Permit, tries: u8) {
-        let second = self.given.plant != Some(Plant::NoSecondLook);
-        let Some(m) = self.machines.get_mut(&who) else { return };
-        let boot = m.boot;
-        let Some(p) = &mut m.process else { return };
-        let permit = if second { p.still(now, permit) } else { Some(permit.clone()) };
-        let Some(permit) = permit else { return self.checks.turned_back() };
-        if !self.connect(who, boot, now, &permit) {
-            if tries >= TRIES {
-                return self.checks.turned_back();
-            }
-            let (at, tries) = (self.now + BEAT, tries + 1);
-            return self.push(at, Event::Send { who, boot, permit, tries });
-        }
-        let Some(p) = self.machines.get(&who).and_then(|m| m.process.as_ref()) else { return };
-        let known =
-            permit.under.versions().iter().filter_map(|n| p.follower().version(*n)).cloned().collect();
-        let act = Act { at: self.now, gateway: who, permit: permit.clone() };
-        self.checks.act(act, known);
-        self.hears(who, boot, permit.server, now);
-    }
-
     /// The rules of the latest version that any keeper knows, and its number: what an editor begins from.
     pub fn latest(&self) -> (Number, Rules) {
         let machines = self.machines.values().filter_map(|m| m.process.as_ref()?.keeper()?.machine());
