A keeper's word from before its start frees nothing: found by a model check of slots

Ruled out: a word of the old start that arrives later (its number is refused; that was guarded against); a fault of the model (the order played on Grants alone frees the slot). At fault: Change::Born in grants.rs, which left the words of the keeper's earlier start standing in the rounds they were given in. Change: Born takes them out.

--- a/crates/accord/src/grants.rs
+++ b/crates/accord/src/grants.rs
@@ -137,7 +137,14 @@
     /// Applies a change; `keepers`: those whose words make a majority.
     pub fn apply(&mut self, change: Change, keepers: &BTreeSet<Gateway>) {
         match change {
-            Change::Born { keeper, nonce } => drop(self.born.insert(keeper, nonce)),
+            Change::Born { keeper, nonce } => {
+                self.born.insert(keeper, nonce);
+                // It has forgotten what it said, and will tell gateways of their slots again. (Left standing, such a word
+                // and another keeper's freed what it had just told: found by `tests/slots.rs`.)
+                for said in self.rounds.values_mut().flat_map(|r| r.said.values_mut()) {
+                    said.remove(&keeper);
+                }
+            }
             Change::Begin { gateway, life } => {
                 if self.ledger.life(gateway) != Some(life) && !self.ledger.replaced(gateway, life) {
                     self.ledger.begin(gateway, life);
