--- /dev/null
+++ b/scenarios/budget-quiet.jsonnet
@@ -0,0 +1,2 @@
+// budget-paused without its troubles: what the budgets alone cost.
+(import 'budget-paused.jsonnet') { steps: [], expect+: { served: 0.9 } }
