Connections that rest without a budget are bounded by the settings again

Need: read once more: upstream::Held kept as many per node as came back, where a gateway with agreed rules has no budget or one that binds nobody; the pool it replaced had limits.pool. And a time of five seconds stood in the gateway. Change: Bounds from settings and accord's Tuning. A test that fails without it.

--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -5,7 +5,7 @@
 use crate::core::Admission;
 use crate::oauth::{Handle, Message, News};
 use crate::reply::Final;
-use crate::upstream::{self, Book, Ended, Held, Paid, NOT_RUN};
+use crate::upstream::{self, Book, Bounds, Ended, Held, Paid, NOT_RUN};
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use async_io::Timer;
@@ -94,8 +94,10 @@
     let (task, thread) = task::start(config)?;
     let trial = Arc::new(Mutex::new(Trial::new(tuning.watch)));
     let agreed = Agreed { task, trial, clock, me, tuning };
-    let life = Duration::from_millis(loaded.file.limits.pool_idle_ms);
-    let held = Held::new(Arc::new(agreed.clone()), executor.clone(), loaded.file.gateway.source, life);
+    let limits = &loaded.file.limits;
+    let (life, outlives) = (Duration::from_millis(limits.pool_idle_ms), Duration::from_micros(tuning.stall));
+    let bounds = Bounds { most: limits.pool, life, outlives };
+    let held = Held::new(Arc::new(agreed.clone()), executor.clone(), loaded.file.gateway.source, bounds);
     Ok(Some(Runs { agreed, held, nudged, thread, links }))
 }
 
--- a/crates/gateway/src/upstream/held.rs
+++ b/crates/gateway/src/upstream/held.rs
@@ -25,8 +25,6 @@
     fn guard(&self) -> MutexGuard<'_, Guard>;
 }
 
-/// A connection that was shut where no budget says how long it may stand at its node.
-const OUTLIVES: Duration = Duration::from_secs(5);
 /// Requests that may wait for a slot.
 const WAITING: usize = 4_096;
 
@@ -52,18 +50,29 @@
     closing: BTreeMap<Ticket, usize>,
 }
 
+/// Bounds of connections that no budget has.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// So many rest for each node, most.
+    pub most: usize,
+    /// One rests for so long, most.
+    pub life: Duration,
+    /// One that was shut counts for so long, most, where its node does not close it.
+    pub outlives: Duration,
+}
+
 /// The connections of a gateway.
 pub struct Held {
     book: Arc<dyn Book>,
     executor: Arc<Executor<'static>>,
     pool: Pool,
-    life: Duration,
+    bounds: Bounds,
     state: Mutex<State>,
 }
 
 impl std::fmt::Debug for Held {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Held").field("life", &self.life).finish_non_exhaustive()
+        f.debug_struct("Held").field("bounds", &self.bounds).finish_non_exhaustive()
     }
 }
 
@@ -106,15 +115,15 @@
 }
 
 impl Held {
-    /// None yet; those that rest are kept for `life` at most, or as long as the node keeps them.
+    /// None yet; those that rest are kept within the bounds, and no longer than a budget's node keeps them.
     pub fn new(
         book: Arc<dyn Book>,
         executor: Arc<Executor<'static>>,
         source: Option<IpAddr>,
-        life: Duration,
+        bounds: Bounds,
     ) -> Arc<Held> {
         let pool = Pool::new(0, Duration::ZERO).from(source);
-        Arc::new(Held { book, executor, pool, life, state: Mutex::default() })
+        Arc::new(Held { book, executor, pool, bounds, state: Mutex::default() })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -131,7 +140,7 @@
     /// How long one may rest.
     fn rests(&self, ticket: &Ticket) -> Duration {
         let most = self.budget(ticket, |b| Duration::from_millis(b.rest_ms()));
-        most.map_or(self.life, |most| most.min(self.life))
+        most.map_or(self.bounds.life, |most| most.min(self.bounds.life))
     }
 
     /// How many rest.
@@ -268,7 +277,7 @@
 
     fn end(self: Arc<Self>, ticket: Ticket, stream: Option<Arc<Async<TcpStream>>>) {
         let most = self.budget(&ticket, |b| Duration::from_millis(b.attempt_ms + b.idle_ms));
-        let patience = most.unwrap_or(OUTLIVES);
+        let patience = most.unwrap_or(self.bounds.outlives);
         let executor = self.executor.clone();
         let work = async move {
             if let Some(stream) = stream {
@@ -424,12 +433,20 @@
             link.seat.ticket = Some(ticket);
             return;
         }
-        let rests = Resting { stream: link.stream.clone(), ticket, since: Instant::now() };
+        let mut rests = Some(Resting { stream: link.stream.clone(), ticket, since: Instant::now() });
         let waits = {
             let mut state = self.held.state();
-            state.resting.entry(self.to).or_default().push(rests);
+            let list = state.resting.entry(self.to).or_default();
+            // Without a budget nothing else bounds what rests.
+            if list.len() < self.held.bounds.most {
+                list.extend(rests.take());
+            }
             !state.waiting.is_empty()
         };
+        if let Some(Resting { ticket, .. }) = rests {
+            link.seat.ticket = Some(ticket);
+            return;
+        }
         if waits {
             self.held.serve();
         }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,4 +4,4 @@
 mod held;
 
 pub use attempt::{attempt, probe, Ended, Forward, Outgoing, NOT_RUN};
-pub use held::{Book, Held, Link, Paid, Seat};
+pub use held::{Book, Bounds, Held, Link, Paid, Seat};
--- a/crates/gateway/tests/held.rs
+++ b/crates/gateway/tests/held.rs
@@ -5,7 +5,7 @@
 use frostgauge_accord::{meet_all, Class, Plan, Rules, Server, State, Tenant, Version, FORMAT};
 use frostgauge_budget::{Budget, Holder, Place, Policy, Slots, Tells, Told};
 use frostgauge_fleet::{Allows, Guard, Leased, View};
-use frostgauge_gateway::upstream::{Book, Held, Paid};
+use frostgauge_gateway::upstream::{Book, Bounds, Held, Paid};
 use frostgauge_net::{exchange_by, End};
 use frostgauge_proto::http::Limits;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
@@ -83,10 +83,15 @@
 }
 
 fn site() -> Site {
+    site_of(4)
+}
+
+/// With so many connections that may rest.
+fn site_of(most: usize) -> Site {
     let node = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let at = node.get_ref().local_addr().expect("bound");
     let (book, executor) = (Alone::new(at), Arc::new(Executor::new()));
-    let held = Held::new(book.clone(), executor.clone(), None, LONG);
+    let held = Held::new(book.clone(), executor.clone(), None, Bounds { most, life: LONG, outlives: LONG });
     Site { book, held, executor, node, at }
 }
 
@@ -215,3 +220,17 @@
         until(|| site.book.guard().closed_all()).await;
     });
 }
+
+#[test]
+fn no_more_rest_than_the_settings_say() {
+    let site = site_of(0);
+    site.book.slots(1, 1);
+    site.run(async {
+        let asked = site.ask("norte", LONG);
+        let (mut stream, _) = site.node.accept().await.expect("taken");
+        serve(&mut stream).await;
+        assert!(matches!(asked.await, End::Answered(_)));
+        assert_eq!(stream.read(&mut [0; 9]).await.expect("read"), 0, "it is shut, not kept");
+        assert_eq!(site.held.len(), 0);
+    });
+}
