Nothing is sent on for a client that has gone, over a connection that comes up late

Ruled out: an attempt begun by the decisions after the client left (none in the trace but within the same few milliseconds), a client's end that is not noticed (each left line stands in the log).

Cause: node/src/upstream.rs, exchange(): from the decision to the last byte nothing looked at the client again; the engine's Left takes the call away and leaves its attempts to go on. Mend: an attempt ends as never run when its client goes before the last byte, whichever of the two the engine hears of first; with a settings file the last look before the bytes asks too.

Found by review of the same path, each with a test: - node/src/front.rs read 4 KiB ahead and then no longer saw a client leave; it reads as much as a whole request now, out of the bytes that may be held for all clients. - The time told to a server was that of the decision, up to the connection's wait too long; it is that of the writing now. - A repeat under a key could begin after its window, while its connection came up; it begins within the window or not at all. - With a settings file a reload between a request's reading and its turn gave its route another number or none (gateway/src/oauth.rs, enter()): it was dropped, its connection closed with no answer, or it went by another route's class and scope. A call carries class, units and scope of the settings that it was read by now, and no call can be dropped.

Each test was run with its mend taken out and failed, but for the last, whose fault no longer compiles.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -149,13 +149,28 @@
            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
 }
 
+/// What discovery's agent does with a call.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// It sends these bytes.
+    Bytes(Vec<u8>),
+    /// It sends them one by one.
+    Pieces(Vec<u8>),
+    /// It closes the connection without a word.
+    End,
+    /// It resets the connection.
+    Reset,
+}
+
 #[derive(Default)]
 pub struct Told {
     generation: u64,
     list: Value,
     changes: Vec<(u64, Value)>,
-    /// Sent in place of the next answers.
-    instead: Vec<Vec<u8>>,
+    /// Done in place of the next answers.
+    instead: Vec<Reply>,
+    /// Nothing is answered at all.
+    silent: bool,
     asked: Vec<String>,
 }
 
@@ -179,7 +194,7 @@
                     let mut writer = stream.try_clone().expect("a clone");
                     let mut reader = BufReader::new(stream);
                     while let Some(request) = read(&mut reader) {
-                        if writer.write_all(&reply(&told, &request)).is_err() {
+                        if !carry_out(reply(&told, &request), &mut writer) {
                             return;
                         }
                     }
@@ -189,6 +204,21 @@
         Discovery { address, told }
     }
 
+    /// Falls silent to all calls, or answers again.
+    pub fn fall_silent(&self, silent: bool) {
+        self.told.0.lock().expect("unpoisoned").silent = silent;
+        self.told.1.notify_all();
+    }
+
+    /// The whole list as it is, without these.
+    pub fn whole_list_without(&self, gone: &str) -> Vec<u8> {
+        let told = self.told.0.lock().expect("unpoisoned");
+        let mut list = told.list.as_array().cloned().unwrap_or_default();
+        list.retain(|e| e["instanceId"] != gone);
+        let body = json!({"generation": told.generation, "reset": true, "instances": list});
+        answer(200, "", &body.to_string())
+    }
+
     /// Tells of changed entries.
     pub fn change(&self, entries: Vec<Value>) {
         let mut told = self.told.0.lock().expect("unpoisoned");
@@ -200,8 +230,13 @@
 
     /// Sends these bytes in place of the next answer, and an answer at once to whoever waits.
     pub fn instead(&self, bytes: &[u8]) {
+        self.does_instead(Reply::Bytes(bytes.to_vec()));
+    }
+
+    /// Does this in place of the next answer, at once to whoever waits.
+    pub fn does_instead(&self, reply: Reply) {
         let mut told = self.told.0.lock().expect("unpoisoned");
-        told.instead.push(bytes.to_vec());
+        told.instead.push(reply);
         self.told.1.notify_all();
     }
 
@@ -210,7 +245,28 @@
     }
 }
 
-fn reply(told: &(Mutex<Told>, Condvar), request: &Message) -> Vec<u8> {
+/// Does what an agent does with a call; whether its connection goes on.
+fn carry_out(reply: Reply, writer: &mut TcpStream) -> bool {
+    match reply {
+        Reply::Bytes(bytes) => writer.write_all(&bytes).is_ok(),
+        Reply::Pieces(bytes) => {
+            let _ = writer.set_nodelay(true);
+            bytes.iter().all(|byte| writer.write_all(&[*byte]).is_ok())
+        }
+        Reply::End => writer.shutdown(std::net::Shutdown::Both).is_err(),
+        Reply::Reset => {
+            reset_at_close(writer);
+            writer.shutdown(std::net::Shutdown::Read).is_err()
+        }
+    }
+}
+
+/// Closing the connection resets it.
+pub fn reset_at_close(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
+fn reply(told: &(Mutex<Told>, Condvar), request: &Message) -> Reply {
     let target = request.first.split(' ').nth(1).unwrap_or("").to_owned();
     let from = target.split("from=").nth(1).and_then(|t| t.split('&').next()).and_then(|t| t.parse().ok());
     let mut guard = told.0.lock().expect("unpoisoned");
@@ -218,6 +274,7 @@
     let waits = |t: &mut Told| from == Some(t.generation) && t.instead.is_empty();
     let limit = Duration::from_millis(500);
     guard = told.1.wait_timeout_while(guard, limit, waits).expect("unpoisoned").0;
+    guard = told.1.wait_while(guard, |told| told.silent).expect("unpoisoned");
     if !guard.instead.is_empty() {
         return guard.instead.remove(0);
     }
@@ -230,7 +287,7 @@
             json!({"generation": guard.generation, "reset": false, "instances": entries})
         }
     };
-    answer(200, "content-type: application/json\r\n", &body.to_string())
+    Reply::Bytes(answer(200, "content-type: application/json\r\n", &body.to_string()))
 }
 
 /// The settings of the tests' site: a class that may run again and one that may not, a wide plan and a small one.
@@ -315,6 +372,25 @@
     command
 }
 
+/// Starts the program; what it logs is kept.
+fn spawn(
+    address: SocketAddr,
+    discovery: SocketAddr,
+    folder: &std::path::Path,
+) -> (Child, Arc<Mutex<String>>) {
+    let mut child = program(address, discovery, &folder.join("config.json")).spawn().expect("started");
+    let log = Arc::new(Mutex::new(String::new()));
+    let (lines, kept) = (child.stderr.take().expect("piped"), log.clone());
+    std::thread::spawn(move || {
+        for line in BufReader::new(lines).lines().map_while(Result::ok) {
+            let mut log = kept.lock().expect("unpoisoned");
+            log.push_str(&line);
+            log.push('\n');
+        }
+    });
+    (child, log)
+}
+
 impl Gateway {
     /// Starts it with 256 descriptors to share out, and waits until it is ready.
     pub fn start(discovery: &Discovery) -> Gateway {
@@ -337,25 +413,27 @@
             "peer_listen": peer_listen, "peers": peers, "peers_all": "127.0.0.1:9",
             "known": {"generation": 0, "reset": true, "instances": []}, "settings": settings,
         });
-        let path = folder.join("config.json");
-        std::fs::write(&path, config.to_string()).expect("written");
-        let mut child = program(address, discovery.address, &path).spawn().expect("started");
-        let log = Arc::new(Mutex::new(String::new()));
-        let (lines, kept) = (child.stderr.take().expect("piped"), log.clone());
-        std::thread::spawn(move || {
-            for line in BufReader::new(lines).lines().map_while(Result::ok) {
-                let mut log = kept.lock().expect("unpoisoned");
-                log.push_str(&line);
-                log.push('\n');
-            }
-        });
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("written");
+        let (child, log) = spawn(address, discovery.address, &folder);
         let gateway = Gateway { address, folder, config, peer, child, log };
+        gateway.wait_until_ready();
+        gateway
+    }
+
+    fn wait_until_ready(&self) {
         wait("ready", || {
-            TcpStream::connect(address).is_ok_and(|s| {
+            TcpStream::connect(self.address).is_ok_and(|s| {
                 Client(BufReader::new(s)).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status() == 200
             })
         });
-        gateway
+    }
+
+    /// Kills it outright, and starts it anew at its address.
+    pub fn killed_and_started_anew(&mut self, discovery: &Discovery) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("ended");
+        (self.child, self.log) = spawn(self.address, discovery.address, &self.folder);
+        self.wait_until_ready();
     }
 
     pub fn client(&self) -> Client {
@@ -372,13 +450,29 @@
         names
     }
 
-    /// Its sockets that take connections, and those for datagrams.
-    pub fn doors(&self) -> (usize, usize) {
+    /// The inodes of its sockets.
+    fn sockets(&self) -> Vec<String> {
         let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
         let links = files.filter_map(|f| std::fs::read_link(f.ok()?.path()).ok());
-        let own: Vec<String> = links
+        links
             .filter_map(|l| Some(l.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
-            .collect();
+            .collect()
+    }
+
+    /// Its connections to a loopback address that do not stand yet.
+    pub fn connecting(&self, to: SocketAddr) -> usize {
+        let own = self.sockets();
+        let SocketAddr::V4(to) = to else { panic!("an IPv4 address") };
+        let to = format!("{:08X}:{:04X}", u32::from_le_bytes(to.ip().octets()), to.port());
+        let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+        // The other side in the third column, the state in the fourth (02: not answered yet), the inode in the tenth.
+        rows.filter(|r| r[2] == to && r[3] == "02" && own.iter().any(|i| i == r[9])).count()
+    }
+
+    /// Its sockets that take connections, and those for datagrams.
+    pub fn doors(&self) -> (usize, usize) {
+        let own = self.sockets();
         let count = |table: &str, listens: bool| {
             let text = std::fs::read_to_string(format!("/proc/net/{table}")).expect("a table");
             let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
@@ -482,6 +576,29 @@
     }
 }
 
+/// A machine that vanished: connections to it neither come up nor are refused, since its queue is full.
+pub struct Vanished {
+    pub address: SocketAddr,
+    _socket: socket2::Socket,
+    _queue: Vec<TcpStream>,
+}
+
+impl Vanished {
+    pub fn start() -> Vanished {
+        use socket2::{Domain, Protocol, Socket, Type};
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+        socket.listen(0).expect("listening");
+        let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
+        let mut queue = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            queue.push(stream);
+            assert!(queue.len() < 64, "the queue does not fill");
+        }
+        Vanished { address, _socket: socket, _queue: queue }
+    }
+}
+
 /// A gateway before so many servers.
 pub fn stage(acts: Vec<Box<Act>>) -> (Vec<Server>, Discovery, Gateway) {
     let servers: Vec<Server> = acts.into_iter().map(Server::start).collect();
--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -317,26 +317,11 @@
     wait("served again", || client.say(&request(&id(), true)).status() == 200);
 }
 
-/// A machine that vanished: connections to it neither come up nor are refused, since its queue is full.
-fn vanished() -> (socket2::Socket, std::net::SocketAddr, Vec<TcpStream>) {
-    use socket2::{Domain, Protocol, Socket, Type};
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).expect("a socket");
-    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
-    socket.listen(0).expect("listening");
-    let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
-    let mut kept = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-        kept.push(stream);
-        assert!(kept.len() < 64, "the queue does not fill");
-    }
-    (socket, address, kept)
-}
-
 #[test]
 fn a_server_that_vanished_is_proven_not_to_have_run_and_left_alone() {
-    let (_socket, address, _kept) = vanished();
+    let vanished = Vanished::start();
     let server = Server::start(serve());
-    let gone = entry("s-gone", address, "up");
+    let gone = entry("s-gone", vanished.address, "up");
     let discovery = Discovery::start(vec![gone, server.entry("s-0", "up")]);
     let gateway = Gateway::start(&discovery);
     let ids = gateway.client().served(10);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -32,8 +32,8 @@
     /// What fronts share with the engine.
     type Shared: Clone + std::fmt::Debug + Send + Sync;
 
-    /// How a call enters the core; `None` drops it.
-    fn enter(&mut self, call: &Call<Self>) -> Option<Input>;
+    /// How a call enters the core.
+    fn enter(&mut self, call: &Call<Self>) -> Input;
     /// Takes news.
     fn news(&mut self, now: Micros, news: Self::News, inside: Inside<'_>, out: &mut Vec<Command>);
     /// Starts an attempt; its task hands in [`Message::Ended`] exactly once, and dropping it ends the attempt.
@@ -59,6 +59,8 @@
     pub timeout: Micros,
     /// Whose request it is.
     pub grant: Arc<frostgauge_identity::Grant>,
+    /// When the request's first attempt that may have run was sent.
+    pub ran: Option<Micros>,
 }
 
 /// What an outside may see and use of its engine.
@@ -96,6 +98,36 @@
     pub reply: Sender<Reply>,
 }
 
+impl<O: Outside> Call<O> {
+    /// Whether its client is still there, for an attempt to look at.
+    pub fn client(&self) -> Client {
+        Client::of(&self.reply)
+    }
+}
+
+/// The client of a call: it has gone once nobody can take the reply any more.
+#[derive(Clone, Debug)]
+pub struct Client {
+    reply: Sender<Reply>,
+}
+
+impl Client {
+    /// Whose reply goes here.
+    pub fn of(reply: &Sender<Reply>) -> Client {
+        Client { reply: reply.clone() }
+    }
+
+    /// Whether it has gone.
+    pub fn has_gone(&self) -> bool {
+        self.reply.is_closed()
+    }
+
+    /// Waits until it has gone.
+    pub async fn gone(&self) {
+        self.reply.closed().await;
+    }
+}
+
 /// The final answer to a call.
 #[derive(Debug)]
 pub enum Reply {
@@ -192,6 +224,13 @@
     }
 }
 
+/// An open call.
+struct Open<O: Outside> {
+    call: Box<Call<O>>,
+    /// When its first attempt that may have run was sent.
+    ran: Option<Micros>,
+}
+
 struct Running {
     sent: Micros,
     server: ServerId,
@@ -204,7 +243,7 @@
     clock: Clock,
     inbox: Receiver<Message<O>>,
     outside: O,
-    calls: BTreeMap<u64, Box<Call<O>>>,
+    calls: BTreeMap<u64, Open<O>>,
     running: BTreeMap<(u64, u32), Running>,
     started: Micros,
     throttle: Throttle,
@@ -279,8 +318,8 @@
         let now = self.clock.now();
         match message {
             Message::Call(call) => {
-                let Some(input) = self.outside.enter(&call) else { return };
-                self.calls.insert(call.ticket, call);
+                let input = self.outside.enter(&call);
+                self.calls.insert(call.ticket, Open { call, ran: None });
                 self.core.handle(now, input, out);
             }
             Message::Left(ticket) => {
@@ -309,13 +348,16 @@
         self.outside.over(run.server);
         let Ended { status, response, used, load } = ended;
         let took = now.saturating_sub(run.sent);
+        if let Some(open) = self.calls.get_mut(&ticket).filter(|_| may_have_run(status)) {
+            open.ran.get_or_insert(run.sent);
+        }
         let input = Input::AttemptEnded { ticket, attempt, server: run.server, status, took, used, load };
         let from = out.len();
         self.core.handle(now, input, out);
         let deliver = Command::Deliver { ticket, attempt };
         if let Some(at) = out[from..].iter().position(|c| *c == deliver) {
             out.remove(from + at);
-            if let (Some(response), Some(call)) = (response, self.calls.remove(&ticket)) {
+            if let (Some(response), Some(Open { call, .. })) = (response, self.calls.remove(&ticket)) {
                 self.observed.answer("served", "served", now.saturating_sub(call.arrived));
                 let _ = call.reply.try_send(Reply::Node(response));
             }
@@ -328,10 +370,10 @@
             for command in commands.drain(..) {
                 ended.extend(match command {
                     Command::Send { ticket, attempt, server, timeout, grant } => {
-                        let task = self.outside.start(
-                            Attempt { ticket, attempt, server, timeout, grant },
-                            self.calls.get(&ticket).map(|c| &**c),
-                        );
+                        let open = self.calls.get(&ticket);
+                        let ran = open.and_then(|o| o.ran);
+                        let start = Attempt { ticket, attempt, server, timeout, grant, ran };
+                        let task = self.outside.start(start, open.map(|o| &*o.call));
                         metrics::counter!("frostgauge_attempts").increment(1);
                         let sent = self.clock.now();
                         self.running.insert((ticket, attempt), Running { sent, server, task });
@@ -367,7 +409,7 @@
     }
 
     fn answer(&mut self, ticket: u64, answer: Final) {
-        let Some(call) = self.calls.remove(&ticket) else { return };
+        let Some(Open { call, .. }) = self.calls.remove(&ticket) else { return };
         let now = self.clock.now();
         let (kind, reason) = (kind(&answer), answer.reason());
         self.observed.answer(kind, reason, now.saturating_sub(call.arrived));
@@ -378,6 +420,11 @@
     }
 }
 
+/// Whether an attempt that ended so may have run.
+fn may_have_run(status: Status) -> bool {
+    !matches!(status, Status::Full | Status::ConnectFailed | Status::Broken | Status::Moot)
+}
+
 fn kind(answer: &Final) -> &'static str {
     match answer {
         Final::Denied(_) | Final::UnknownInsurer | Final::NotAllowed => "denied",
--- a/crates/gateway/src/front/http.rs
+++ b/crates/gateway/src/front/http.rs
@@ -232,11 +232,12 @@
         close: bool,
     ) -> Option<Item> {
         let (ticket, to_head) = (self.handle.ticket(), head.method() == "HEAD");
-        let scope = loaded.routes[parsed.route].scope.clone();
+        let route = &loaded.routes[parsed.route];
+        let (class, units, scope) = (route.class, route.units, route.scope.clone());
         let (reply, answer) = async_channel::bounded(1);
         let call = Call {
             ticket,
-            caller: Caller { token: parsed.token, route: parsed.route },
+            caller: Caller { token: parsed.token, class, units, scope: scope.as_str().into() },
             arrived: self.handle.clock.now(),
             patience: parsed.patience,
             repeat: parsed.repeat,
--- a/crates/gateway/src/oauth.rs
+++ b/crates/gateway/src/oauth.rs
@@ -41,8 +41,13 @@
 pub struct Caller {
     /// The request's token.
     pub token: Token,
-    /// Index of its route.
-    pub route: usize,
+    /// Its class, by number.
+    pub class: usize,
+    /// Units that it draws.
+    pub units: f64,
+    /// The scope that its token must have, or nothing. Route, class and scope are those of the settings that it was
+    /// read by: guards against a reload in between, after which its route has another number or none.
+    pub scope: Arc<str>,
 }
 
 /// What may happen beside requests.
@@ -175,21 +180,19 @@
     type News = News;
     type Shared = Shared;
 
-    fn enter(&mut self, call: &Call) -> Option<Input> {
-        let loaded = self.handle.loaded();
-        let route = loaded.routes.get(call.caller.route)?;
+    fn enter(&mut self, call: &Call) -> Input {
         let token = call.caller.token.name(&self.key);
         self.tokens.entry(token).or_insert_with(|| call.caller.token.clone());
-        Some(Input::Call(Ask {
+        Input::Call(Ask {
             ticket: call.ticket,
             token,
-            class: route.class,
-            units: route.units,
-            scope: route.scope.as_str().into(),
+            class: call.caller.class,
+            units: call.caller.units,
+            scope: call.caller.scope.clone(),
             arrived: call.arrived,
             patience: call.patience,
             repeat: call.repeat,
-        }))
+        })
     }
 
     fn news(&mut self, now: Micros, news: News, inside: Inside<'_>, out: &mut Vec<Command>) {
@@ -232,7 +235,7 @@
     }
 
     fn start(&mut self, attempt: Attempt, call: Option<&Call>) -> Task<()> {
-        let Attempt { ticket, attempt, server, timeout, grant } = attempt;
+        let Attempt { ticket, attempt, server, timeout, grant, .. } = attempt;
         let instant = Instant::now();
         *self.out.entry(server).or_default() += 1;
         let inbox = self.handle.inbox();
@@ -249,9 +252,9 @@
         let bytes = call.forward.bytes(to, &grant.subject, &number, attempt, rand::random());
         let to_head = call.forward.head.method() == "HEAD";
         let (pool, held) = (self.pool.clone(), self.held.clone());
-        let class = loaded.routes.get(call.caller.route).and_then(|r| loaded.classes.get(r.class));
+        let class = loaded.classes.get(call.caller.class);
         let look = self.agreed.as_ref().zip(class).map(|(a, class)| a.look(&grant.subject, class, to));
-        let request = Outgoing { bytes, to_head, look };
+        let request = Outgoing { bytes, to_head, look, client: Some(call.client()) };
         let paid = held.zip(class).map(|(held, class)| Paid::request(&held, to, &grant.subject, class));
         self.executor.spawn(async move {
             let l = &loaded.file.limits;
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! An attempt at a node, and a probe: what goes out, and what the end says.
 
 use crate::agreed::Look;
+use crate::engine::Client;
 use frostgauge::{Load, Status};
 use frostgauge_net::{exchange_by, End, Response, Way};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
@@ -117,6 +118,8 @@
     pub to_head: bool,
     /// The last look at the fleet's rules, right before the bytes go.
     pub look: Option<Look>,
+    /// Whose it is; nothing of it goes out once that client has gone.
+    pub client: Option<Client>,
 }
 
 /// Makes an attempt.
@@ -127,8 +130,10 @@
     connect: Duration,
     deadline: Instant,
 ) -> Ended {
-    let Outgoing { bytes, to_head, look } = &mut request;
+    let Outgoing { bytes, to_head, look, client } = &mut request;
     let last = || match look {
+        // Guards against a connection that comes up late, after its client has gone.
+        _ if client.as_ref().is_some_and(Client::has_gone) => None,
         Some(look) => look.stamp(bytes),
         None => Some(Cow::Borrowed(&bytes[..])),
     };
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -22,8 +22,9 @@
 
 /// Bounds on a request: content as the protocol has it, heads with room to spare.
 const REQUEST: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
-/// Bytes read ahead while an answer is awaited.
-const AHEAD: usize = 4 << 10;
+/// Bytes read ahead while an answer is awaited, and how many such pieces more where there is room: as much as the
+/// largest request.
+const AHEAD: (usize, usize) = (4 << 10, 20);
 
 /// Why a connection ends.
 enum End {
@@ -45,14 +46,24 @@
     handle: Handle,
     closing: Closing,
     buf: Vec<u8>,
+    /// What was read ahead beyond the first piece, of the bytes that may be held for all clients.
+    ahead: Vec<Taken>,
     used: bool,
     opened: Instant,
 }
 
 /// Serves a connection to its end.
 pub async fn serve(stream: Async<TcpStream>, seat: Seat, handle: Handle, closing: Closing) {
-    let mut connection =
-        Connection { stream, seat, handle, closing, buf: Vec::new(), used: false, opened: Instant::now() };
+    let mut connection = Connection {
+        stream,
+        seat,
+        handle,
+        closing,
+        buf: Vec::new(),
+        ahead: Vec::new(),
+        used: false,
+        opened: Instant::now(),
+    };
     loop {
         match connection.one().await {
             Ok(true) => {}
@@ -122,35 +133,29 @@
             patience: asked.patience,
             repeat: asked.repeat,
             caller: asked,
-            forward: Forward { head, body },
+            forward: Arc::new(Forward { head, body }),
             reply,
         };
         let ticket = call.ticket;
         if !self.handle.send(Message::Call(Box::new(call))).await {
             return Err(End::Close);
         }
-        // While the answer is awaited, the connection is watched: a client that closes it has left.
-        let stream = &self.stream;
-        let buf = &mut self.buf;
         let left = async {
-            while buf.len() < AHEAD {
-                match read_some(&mut &*stream, buf).await {
-                    Ok(0) | Err(_) => return None,
-                    Ok(_) => {}
-                }
-            }
-            std::future::pending().await
+            self.left().await;
+            None
         };
-        let answer = or(async { answer.recv().await.ok() }, left).await;
+        let got = or(async { answer.recv().await.ok() }, left).await;
         drop(held);
-        let Some(answer) = answer else {
+        let Some(reply) = got else {
+            // Before the engine hears of it: attempts that have not begun end by this.
+            drop(answer);
             self.handle.send(Message::Left(ticket)).await;
             return Err(End::Close);
         };
         let close = !persists || self.closing.begun();
         let mut out = Vec::new();
         let mut room = None;
-        match answer {
+        match reply {
             Reply::Node(node) => {
                 room = front.bytes.take(node.body.len());
                 if room.is_some() {
@@ -175,6 +180,24 @@
         Ok(!close)
     }
 
+    /// Waits until the client leaves: while an answer is awaited, the connection is read on.
+    async fn left(&mut self) {
+        self.ahead.truncate(self.buf.len() / AHEAD.0);
+        loop {
+            while self.buf.len() >= AHEAD.0 * (1 + self.ahead.len()) {
+                let more = self.handle.shared.bytes.take(AHEAD.0).filter(|_| self.ahead.len() < AHEAD.1);
+                match more {
+                    Some(more) => self.ahead.push(more),
+                    None => std::future::pending().await,
+                }
+            }
+            match read_some(&mut &self.stream, &mut self.buf).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
     /// The next head.
     async fn head(&mut self) -> Result<Head, End> {
         let mut reader = HeadReader::default();
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -7,7 +7,7 @@
 use crate::table::Table;
 use crate::upstream::{self, Forward, Times};
 use async_executor::{Executor, Task};
-use frostgauge::{ListKind, ServerId, Status};
+use frostgauge::{Effect, ListKind, ServerId, Status};
 use frostgauge_gateway::clock::{Clock, Micros};
 use frostgauge_gateway::core::{Ask, Command, Core, Input};
 use frostgauge_gateway::engine::{self, Attempt, Inside, Message, Outside};
@@ -126,17 +126,31 @@
 impl Platform {
     fn times(&self, timeout: Duration) -> Times {
         let (now, times::Links { connect, first_byte, pause, whole, .. }) = (Instant::now(), self.times);
-        Times { connect, first_byte: now + first_byte, deadline: now + timeout, pause, whole }
+        Times {
+            connect,
+            first_byte: now + first_byte,
+            repeat_by: None,
+            deadline: now + timeout,
+            pause,
+            whole,
+        }
+    }
+
+    /// Until when a request of this class may be sent again, where an attempt at it may have run.
+    fn repeat_by(&self, class: usize, ran: Option<Micros>) -> Option<Instant> {
+        let site = &self.handle.shared.site;
+        let Effect::Keyed { window, .. } = site.settings.classes.get(class)?.effect else { return None };
+        Some(self.handle.clock.instant(ran?.saturating_add(window)))
     }
 }
 
 impl Outside for Platform {
     type Caller = Request;
-    type Forward = Forward;
+    type Forward = Arc<Forward>;
     type News = News;
     type Shared = Arc<Front>;
 
-    fn enter(&mut self, call: &Call) -> Option<Input> {
+    fn enter(&mut self, call: &Call) -> Input {
         let caller = &call.caller;
         let ask = Ask {
             ticket: call.ticket,
@@ -150,7 +164,7 @@
         };
         let caller =
             Insurer { id: caller.customer, plan: caller.plan, first: caller.first, spread: caller.spread };
-        Some(Input::Known { ask, caller })
+        Input::Known { ask, caller }
     }
 
     fn news(&mut self, now: Micros, news: News, inside: Inside<'_>, out: &mut Vec<Command>) {
@@ -168,7 +182,7 @@
     }
 
     fn start(&mut self, attempt: Attempt, call: Option<&Call>) -> Task<()> {
-        let Attempt { ticket, attempt, server, timeout, .. } = attempt;
+        let Attempt { ticket, attempt, server, timeout, ran, .. } = attempt;
         let inbox = self.handle.inbox();
         self.servers.sent(server);
         let Some((to, call)) = self.servers.address(server).zip(call) else {
@@ -179,11 +193,13 @@
             });
         };
         let timeout = Duration::from_micros(timeout);
-        let times = self.times(timeout);
-        let bytes = call.forward.bytes(to, timeout);
+        let times = Times { repeat_by: self.repeat_by(call.caller.class, ran), ..self.times(timeout) };
+        let (forward, client) = (call.forward.clone(), call.client());
         let (links, front) = (self.links.clone(), self.handle.shared.clone());
         self.executor.spawn(async move {
-            let ended = upstream::attempt(&links, &front.site, (server, to), &bytes, times).await;
+            let request = |left| forward.bytes(to, left);
+            let ended =
+                upstream::attempt(&links, &front.site, (server, to), request, times, client.gone()).await;
             let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
         })
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -8,7 +8,9 @@
 use frostgauge_net::{exhausted, receive, until, Response, Timed};
 use frostgauge_platform::{answer, request, settings::Site};
 use frostgauge_proto::http::{write_request, Body, Head, Limits};
+use futures_lite::future::or;
 use futures_lite::AsyncWriteExt;
+use std::future::{pending, Future};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -55,6 +57,9 @@
     /// The first byte goes out by then or not at all: guards against an attempt that is decided, waits for its
     /// connection, and reaches a server that was told to drain meanwhile.
     pub first_byte: Instant,
+    /// So does that of a request which may have run before, within the window in which its server knows it again:
+    /// guards against a second effect of an attempt that is decided in the window and gets its connection after it.
+    pub repeat_by: Option<Instant>,
     /// It is given up then.
     pub deadline: Instant,
     /// Least and longest time between a request's other bytes and its last one.
@@ -64,23 +69,37 @@
     pub whole: Duration,
 }
 
+impl Times {
+    /// The first byte goes out by then or not at all.
+    fn begin_by(&self) -> Instant {
+        self.repeat_by.map_or(self.first_byte, |by| by.min(self.first_byte))
+    }
+
+    /// Whether it is too late to begin.
+    fn is_late(&self) -> bool {
+        Instant::now() > self.begin_by()
+    }
+}
+
 fn bare(status: Status) -> Ended {
     Ended { status, response: None, used: None, load: None }
 }
 
 /// Makes an attempt. Where its connection ends before the last byte is written it has never run; after that it may
-/// have. An answer that makes no sense is none: the connection is closed and nothing of it is passed on.
+/// have. An answer that makes no sense is none: the connection is closed and nothing of it is passed on. `request`
+/// gives its bytes for the time that is left as they are written; `gone` ends once its client has gone.
 pub async fn attempt(
     links: &Links,
     site: &Site,
-    (server, to): (ServerId, SocketAddr),
-    request: &[u8],
+    target: (ServerId, SocketAddr),
+    request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
+    gone: impl Future<Output = ()>,
 ) -> Ended {
-    match exchange(links, (server, to), request, times).await {
+    match exchange(links, target, request, times, gone).await {
         Ok((response, link)) => {
             if let Some(link) = link {
-                links.put(server, link);
+                links.put(target.0, link);
             }
             ended(site, response)
         }
@@ -99,75 +118,98 @@
 
 async fn exchange(
     links: &Links,
-    (server, to): (ServerId, SocketAddr),
-    request: &[u8],
+    target: (ServerId, SocketAddr),
+    request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
+    gone: impl Future<Output = ()>,
 ) -> Result<Answered, Status> {
-    let Times { connect, first_byte, deadline, pause, whole } = times;
+    // Guards against a request that is sent on after its client has gone, over a connection that comes up late. What
+    // is written by then may run, and ends as any attempt does.
+    let gone = async {
+        gone.await;
+        Err(Status::Moot)
+    };
+    let link = or(gone, send(links, target, request, times)).await?;
+    answered(link, times).await
+}
+
+/// Writes a request whole, on a kept connection or a new one; the connection that it went out on.
+async fn send(
+    links: &Links,
+    (server, to): (ServerId, SocketAddr),
+    request: impl Fn(Duration) -> Vec<u8>,
+    times: Times,
+) -> Result<Link, Status> {
     // A process that got no time for so long may have missed that the server was told to drain.
-    if Instant::now() > first_byte {
+    if times.is_late() {
         return Err(Status::Moot);
     }
     if let Some(link) = links.take(server) {
-        match converse(link, request, deadline, (pause, whole)).await {
+        match write(&link, &request, times).await {
             // A kept connection that its server had dropped, or that brought something unasked for: not a whole
             // request went out, so no attempt was made.
             Err(Status::Broken) => {}
-            end => return end,
+            end => return end.map(|()| link),
         }
     }
+    let link = connect(links, to, times).await?;
+    write(&link, &request, times).await.map(|()| link)
+}
+
+/// A new connection.
+async fn connect(links: &Links, to: SocketAddr, times: Times) -> Result<Link, Status> {
     let place = links.place().ok_or(Status::Moot)?;
     let began = Instant::now();
-    let limit = deadline.min(first_byte).min(began + connect);
+    let limit = times.begin_by().min(times.deadline).min(began + times.connect);
     let stream = match until(limit, async_io::Async::<TcpStream>::connect(to)).await {
         Timed::Done(Ok(stream)) => stream,
         Timed::Done(Err(e)) if exhausted(&e) => return Err(Status::Moot),
         Timed::Done(Err(_)) => return Err(Status::ConnectFailed),
-        // The client's time ran out first: that says nothing of the server.
-        Timed::Late if limit == deadline => return Err(Status::Moot),
+        // The request's own time ran out first: that says nothing of the server.
+        Timed::Late if limit == times.deadline || Some(limit) == times.repeat_by => return Err(Status::Moot),
         Timed::Late => return Err(Status::ConnectFailed),
     };
-    if Instant::now() > first_byte {
+    if times.is_late() {
         return Err(Status::Moot);
     }
     let _ = stream.get_ref().set_nodelay(true);
-    converse(Links::link(stream, place, began.elapsed()), request, deadline, (pause, whole)).await
+    Ok(Links::link(stream, place, began.elapsed()))
 }
 
-/// Writes a request on a connection and reads its answer.
+/// Writes a request on a connection.
 ///
 /// The last byte goes out a round trip after the others. A server begins a request once that byte has arrived, and
 /// one that has dropped the connection resets it at the first. Guards against an unsafe request that is lost to a
 /// connection closed without a word, or reset as the request comes: its end then proves that it has not run. Whatever
 /// has come by then is no answer to this request: guards against a second copy of the one before, still on its way
 /// when the connection was looked at, that would be served as this one's.
-async fn converse(
-    link: Link,
-    request: &[u8],
-    deadline: Instant,
-    (pause, whole): ((Duration, Duration), Duration),
-) -> Result<Answered, Status> {
+async fn write(link: &Link, request: &impl Fn(Duration) -> Vec<u8>, times: Times) -> Result<(), Status> {
+    // Told as it is now: guards against a server that is told of time which its connection took to come up.
+    let request = request(times.deadline.saturating_duration_since(Instant::now()));
     let (most, last) = request.split_at(request.len().saturating_sub(1));
-    let mut written = 0;
-    let talked = until(deadline, async {
+    let written = until(times.deadline, async {
         let mut stream = &link.stream;
         stream.write_all(most).await?;
-        Timer::after(times::last_byte(link.trip, pause)).await;
+        Timer::after(times::last_byte(link.trip, times.pause)).await;
         if !link.quiet() {
             return Err(std::io::ErrorKind::InvalidData.into());
         }
-        stream.write_all(last).await?;
-        written = last.len();
-        receive(&link.stream, false, &ANSWER, Some(whole)).await
+        stream.write_all(last).await
     });
-    match talked.await {
+    match written.await {
+        Timed::Done(Ok(())) => Ok(()),
+        Timed::Done(Err(_)) => Err(Status::Broken),
+        Timed::Late => Err(Status::Moot),
+    }
+}
+
+/// Reads the answer to a request that is written.
+async fn answered(link: Link, times: Times) -> Result<Answered, Status> {
+    let answer = receive(&link.stream, false, &ANSWER, Some(times.whole));
+    match until(times.deadline, answer).await {
         Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(link))),
-        end => Err(match (written == 0, matches!(end, Timed::Late)) {
-            (true, false) => Status::Broken,
-            (true, true) => Status::Moot,
-            (false, false) => Status::Reset,
-            (false, true) => Status::Timeout,
-        }),
+        Timed::Done(Err(_)) => Err(Status::Reset),
+        Timed::Late => Err(Status::Timeout),
     }
 }
 
@@ -178,7 +220,7 @@
     let mut request = Vec::new();
     let host = to.to_string();
     write_request(&mut request, "GET", path, [("host", host.as_bytes())].into_iter(), Body::None);
-    let (response, link) = match exchange(links, (server, to), &request, times).await {
+    let (response, link) = match exchange(links, (server, to), |_| request.clone(), times, pending()).await {
         Ok(answered) => answered,
         Err(status) => return bare(status),
     };
--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -8,7 +8,7 @@
 use frostgauge_node::upstream::{attempt, probe, Times};
 use frostgauge_platform::settings::{self, Column, Site};
 use futures_lite::future::poll_once;
-use std::future::Future;
+use std::future::{pending, Future};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::pin::{pin, Pin};
@@ -33,7 +33,13 @@
     let now = Instant::now();
     // The last byte waits far longer than what is done meanwhile takes.
     let pause = (Duration::from_secs(1), Duration::from_secs(1));
-    Times { connect: PATIENCE, first_byte: now + PATIENCE, deadline: now + PATIENCE, pause, whole: PATIENCE }
+    let late = now + PATIENCE;
+    Times { connect: PATIENCE, first_byte: late, repeat_by: None, deadline: late, pause, whole: PATIENCE }
+}
+
+/// The request's bytes, whatever time is left.
+fn whole(_: Duration) -> Vec<u8> {
+    REQUEST.to_vec()
 }
 
 /// A server's side of a connection.
@@ -92,7 +98,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
     let (site, (links, theirs)) = (site(), kept(&listener));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
     until_first_bytes(running.as_mut(), &theirs);
     reset(theirs, &listener);
     let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
@@ -105,7 +111,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
     let (site, (links, mut theirs)) = (site(), kept(&listener));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
     until_first_bytes(running.as_mut(), &theirs);
     theirs.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold").expect("written");
     let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
@@ -149,7 +155,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
     let (site, links) = (site(), Links::new(2, PATIENCE));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), REQUEST, times()));
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
     assert!(block_on(poll_once(running.as_mut())).is_none());
     let theirs = accepted(&listener);
     until_first_bytes(running.as_mut(), &theirs);
@@ -163,7 +169,7 @@
     let to = listener.local_addr().expect("an address");
     let (site, (links, theirs)) = (site(), kept(&listener));
     let late = Times { first_byte: Instant::now() - Duration::from_millis(1), ..times() };
-    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, late)).status, Status::Moot);
+    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), whole, late, pending())).status, Status::Moot);
     let nothing = theirs.peek(&mut [0]).expect_err("not one byte, and the connection stands");
     assert!(matches!(nothing.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut));
     listener.set_nonblocking(true).expect("set");
@@ -188,7 +194,10 @@
             let _ = theirs.read(&mut [0]);
         });
         let times = Times { whole: Duration::from_millis(20), ..times() };
-        assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, times)).status, Status::Reset);
+        assert_eq!(
+            block_on(attempt(&links, &site, (SERVER, to), whole, times, pending())).status,
+            Status::Reset
+        );
         server.join().expect("closed by the gateway");
     }
     assert_eq!(links.idle(), 0);
@@ -204,6 +213,102 @@
         theirs.set_read_timeout(Some(PATIENCE)).expect("set");
         theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
     });
-    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), REQUEST, times())).status, Status::Reset);
+    assert_eq!(
+        block_on(attempt(&links, &site, (SERVER, to), whole, times(), pending())).status,
+        Status::Reset
+    );
     server.join().expect("took it");
 }
+
+/// Ends as never run at the next look, and not one byte more comes to the server.
+fn called_off(running: Pin<&mut impl Future<Output = Ended>>, theirs: &mut TcpStream, had: usize) {
+    let mut running = running;
+    let ended = block_on(poll_once(running.as_mut())).expect("ended");
+    assert_eq!(ended.status, Status::Moot, "never run, and the server is not to blame");
+    theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+    let mut seen = Vec::new();
+    // A connection closed with nothing unread on its side ends; it is not reset.
+    theirs.read_to_end(&mut seen).expect("the end");
+    assert_eq!(seen.len(), had);
+}
+
+#[test]
+fn a_client_gone_before_the_connection_stands_has_no_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let (client, reply) = async_channel::bounded::<()>(1);
+    let gone = client.closed();
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), gone));
+    assert!(block_on(poll_once(running.as_mut())).is_none());
+    let mut theirs = accepted(&listener);
+    drop(reply);
+    called_off(running, &mut theirs, 0);
+}
+
+#[test]
+fn a_client_gone_before_the_last_byte_has_no_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, (links, mut theirs)) = (site(), kept(&listener));
+    let (client, reply) = async_channel::bounded::<()>(1);
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), client.closed()));
+    until_first_bytes(running.as_mut(), &theirs);
+    drop(reply);
+    called_off(running, &mut theirs, REQUEST.len() - 1);
+}
+
+#[test]
+fn a_client_gone_after_the_last_byte_leaves_an_attempt_that_may_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, (links, mut theirs)) = (site(), kept(&listener));
+    let (client, reply) = async_channel::bounded::<()>(1);
+    let quick = Times { pause: (Duration::ZERO, Duration::ZERO), ..times() };
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, quick, client.closed()));
+    theirs.set_nonblocking(true).expect("set");
+    let end = Instant::now() + PATIENCE;
+    while !matches!(theirs.peek(&mut [0; 512]), Ok(n) if n == REQUEST.len()) {
+        assert!(block_on(poll_once(running.as_mut())).is_none() && Instant::now() < end);
+    }
+    drop(reply);
+    theirs.set_nonblocking(false).expect("set");
+    serve(&mut theirs);
+    assert_eq!(block_on(running).status, Status::Ok);
+}
+
+#[test]
+fn a_server_is_told_the_time_left_when_its_connection_stands() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links, times) = (site(), Links::new(2, PATIENCE), times());
+    let told = std::cell::Cell::new(None);
+    let request = |left| {
+        told.set(Some(left));
+        REQUEST.to_vec()
+    };
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), request, times, pending()));
+    assert!(block_on(poll_once(running.as_mut())).is_none());
+    let theirs = accepted(&listener);
+    // Time that the connection takes to come up, seen from here.
+    let stands = Instant::now();
+    until_first_bytes(running.as_mut(), &theirs);
+    let told: Duration = told.get().expect("a request was written");
+    assert!(told <= times.deadline - stands, "{told:?}");
+}
+
+#[test]
+fn a_repeat_whose_window_ends_before_its_connection_stands_is_not_made() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let window = Instant::now() + Duration::from_millis(50);
+    let repeat = Times { repeat_by: Some(window), ..times() };
+    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, repeat, pending()));
+    assert!(block_on(poll_once(running.as_mut())).is_none());
+    let mut theirs = accepted(&listener);
+    while Instant::now() <= window {
+        std::thread::yield_now();
+    }
+    called_off(running, &mut theirs, 0);
+}
