An end on a signal answers what the kernel has taken, what was read ahead and what is half read

- node/src/daemon.rs, accept(): connections that waited in the kernel's queue while all seats were taken were reset with the listener 0.6 s after the signal, requests in them lost.
They are taken now before the listener goes.
- node/src/front.rs, one(): what a client had sent behind the request being answered was read, and thrown away with "Connection: close" on that answer.
It is answered now, refused where its answer would be due after the process has ended.
- head(), body(): half a request was waited for 2.2 s from its first byte, whole it could be due after the end; once the process closes it must come whole as long as new connections are taken, and is refused else.
- serve(): after the last answer the connection was read for 0.2 s and what came thrown away, which a client takes for a request that may have run.
It stays unread now, and the close resets it, so that the client knows.

--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::Shutdown;
@@ -33,6 +34,23 @@
     text.replace("X-Remaining-Ms: 1400", &format!("X-Remaining-Ms: {}", patience.as_millis())).into_bytes()
 }
 
+/// Answers once told to.
+fn when(told: &Arc<AtomicBool>) -> Box<Act> {
+    let told = told.clone();
+    Box::new(move |request, stream| {
+        wait("the word to answer", || told.load(Ordering::SeqCst));
+        stream.write_all(&good(request)).is_ok()
+    })
+}
+
+/// Answers after a while.
+fn after(pause: Duration) -> Box<Act> {
+    Box::new(move |request, stream| {
+        std::thread::sleep(pause);
+        stream.write_all(&good(request)).is_ok()
+    })
+}
+
 /// Clients leave together while their attempts' connections are on their way, each having sent so much behind its
 /// request.
 fn leave_before_their_attempts_begin(ahead: &[u8], leave: impl Fn(Client) -> Option<Client>) {
@@ -138,3 +156,195 @@
     assert_eq!(gateway.connecting(vanished.address), 0);
     assert_eq!(server.ids().len(), 1);
 }
+
+#[test]
+fn a_request_that_comes_whole_when_its_answer_would_be_due_after_the_end_is_refused() {
+    let (servers, _discovery, mut gateway) = stage(vec![serve()]);
+    let mut kept = gateway.client();
+    kept.served(1);
+    let mut slow = [(gateway.client(), 20), (gateway.client(), 190), (kept, 20)];
+    let bytes: Vec<Vec<u8>> = slow.iter().map(|_| request(&id(), true)).collect();
+    for ((client, first), bytes) in slow.iter_mut().zip(&bytes) {
+        client.write(&bytes[..*first]);
+    }
+    // All three are being read: the gateway takes what came first.
+    gateway.client().served(1);
+    gateway.signal(Signal::TERM);
+    wait("no more connections taken", || std::net::TcpStream::connect(gateway.address).is_err());
+    for ((client, first), bytes) in slow.iter_mut().zip(&bytes) {
+        client.write(&bytes[*first..]);
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.field("connection")), (503, Some("close")));
+    }
+    assert!(gateway.ended().success());
+    assert_eq!(servers[0].ids().len(), 2);
+}
+
+#[test]
+fn a_request_that_stays_half_does_not_outlast_the_end() {
+    let server = Server::start(serve());
+    let discovery = Discovery::start(vec![server.entry("s-0", "up")]);
+    let mut settings = settings();
+    for class in [0, 1] {
+        settings["classes"][class]["deadlineUs"] = json!(400_000);
+    }
+    let mut gateway = Gateway::with(&discovery, settings);
+    let mut half = gateway.client();
+    half.write(&request(&id(), true)[..20]);
+    gateway.client().served(1);
+    gateway.signal(Signal::TERM);
+    assert_eq!(half.answer().expect("an answer").status(), 503);
+    assert!(gateway.ended().success());
+}
+
+#[test]
+fn a_request_in_the_kernels_queue_is_answered_when_the_process_closes() {
+    // Of 256 descriptors so many are for clients.
+    const CLIENTS: usize = 116;
+    let (servers, _discovery, mut gateway) = stage(vec![serve()]);
+    // Connections with half a request leave for nobody: the last one waits where the process has not seen it.
+    let mut half: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    for client in &mut half {
+        let bytes = request(&id(), true);
+        client.write(&bytes[..bytes.len() - 2]);
+    }
+    let mut late = gateway.client();
+    late.write(&request(&id(), true));
+    gateway.signal(Signal::TERM);
+    assert_eq!(late.answer().expect("an answer").status(), 503);
+    for client in &mut half {
+        assert_eq!(client.answer().expect("an answer").status(), 503);
+    }
+    drop(half);
+    assert!(gateway.ended().success());
+    assert!(servers[0].ids().is_empty());
+}
+
+#[test]
+fn what_is_sent_behind_the_last_answer_is_left_unread() {
+    let told = Arc::new(AtomicBool::new(false));
+    let (servers, _discovery, gateway) = stage(vec![when(&told)]);
+    let mut client = gateway.client();
+    client.write(&request(&id(), true));
+    wait("one out", || servers[0].ids().len() == 1);
+    gateway.signal(Signal::TERM);
+    wait("closing", || gateway.log().contains("closing"));
+    told.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer().expect("an answer").field("connection"), Some("close"));
+    client.write(&request(&id(), true));
+    // A reset tells the client that nobody took it, with nothing more sent.
+    wait("a reset", || client.0.get_ref().take_error().expect("a socket").is_some());
+    assert_eq!(servers[0].ids().len(), 1);
+}
+
+/// Three requests at once, the first of which is out when the process closes; what is held so long is answered so.
+fn read_ahead(pause: Duration, rest: u16) {
+    let server = Server::start(after(pause));
+    let discovery = Discovery::start(vec![server.entry("s-0", "up")]);
+    let mut gateway = Gateway::with(&discovery, long_settings());
+    let mut client = gateway.client();
+    client.write(&[request(&id(), true), request(&id(), true), request(&id(), true)].concat());
+    wait("one out", || server.ids().len() == 1);
+    server.set(serve());
+    gateway.signal(Signal::TERM);
+    let answers: Vec<Message> = (0..3).map(|_| client.answer().expect("an answer")).collect();
+    assert_eq!(answers.iter().map(Message::status).collect::<Vec<_>>(), [200, rest, rest]);
+    assert_eq!(answers[2].field("connection"), Some("close"));
+    assert!(gateway.ended().success());
+}
+
+#[test]
+fn requests_read_ahead_are_answered_when_the_process_closes() {
+    read_ahead(Duration::from_millis(200), 200);
+}
+
+#[test]
+fn requests_read_ahead_that_could_not_be_answered_in_time_are_refused() {
+    read_ahead(Duration::from_millis(1_000), 503);
+}
+
+#[test]
+fn a_request_turned_away_after_the_end_began_goes_to_another_server() {
+    let told = Arc::new(AtomicBool::new(false));
+    let word = told.clone();
+    let turned_away: Box<Act> = Box::new(move |_, stream| {
+        wait("the word to answer", || word.load(Ordering::SeqCst));
+        stream.write_all(&answer(503, "X-Turned-Away: 1\r\n", "full")).is_ok()
+    });
+    let (servers, discovery, mut gateway) = stage(vec![turned_away]);
+    let other = Server::start(serve());
+    let mut client = gateway.client();
+    client.write(&request(&id(), true));
+    wait("one out", || servers[0].ids().len() == 1);
+    discovery.change(vec![other.entry("s-1", "up")]);
+    wait("another server known", || discovery.asked().iter().any(|a| a.contains("from=2")));
+    gateway.signal(Signal::TERM);
+    wait("closing", || gateway.log().contains("closing"));
+    told.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(other.ids(), servers[0].ids());
+    assert!(gateway.ended().success());
+}
+
+#[test]
+fn requests_at_silent_servers_are_answered_by_their_time_after_a_second_signal_too() {
+    let (servers, _discovery, mut gateway) = stage(vec![Box::new(|_, _| true)]);
+    let (mut read, mut report) = (gateway.client(), gateway.client());
+    read.write(&request(&id(), false));
+    report.write(&request(&id(), true));
+    wait("both out", || servers[0].ids().len() == 2);
+    gateway.signal(Signal::TERM);
+    gateway.signal(Signal::TERM);
+    assert_eq!(read.answer().expect("an answer").status(), 503, "trying again does no harm");
+    assert_eq!(report.answer().expect("an answer").status(), 502, "it may have run");
+    assert!(gateway.ended().success());
+}
+
+/// Clients go on sending on the connections that stay open; some rest, and send as the gateway closes them.
+#[test]
+fn whatever_reaches_a_server_after_the_end_began_is_answered() {
+    const CLIENTS: u32 = 40;
+    let (servers, _discovery, mut gateway) = stage(vec![serve(), serve()]);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        client.served(1);
+    }
+    let before: usize = servers.iter().map(|s| s.ids().len()).sum();
+    gateway.signal(Signal::TERM);
+    let began = std::time::Instant::now();
+    let busy = move |(k, mut client): (u32, Client)| {
+        // Half of them go on at once, the others send around the time when idle connections are closed.
+        let first = if k % 2 == 0 { 0 } else { 400 + 5 * u64::from(k) };
+        wait("its time", || began.elapsed() >= Duration::from_millis(first));
+        let mut served = Vec::new();
+        loop {
+            let next = id();
+            if client.say(&request(&next, true)).status() != 200 {
+                return served;
+            }
+            served.push(next);
+        }
+    };
+    let threads: Vec<_> =
+        (0..CLIENTS).zip(clients).map(|client| std::thread::spawn(move || busy(client))).collect();
+    let mut served: Vec<String> = threads.into_iter().flat_map(|t| t.join().expect("ids")).collect();
+    let mut seen: Vec<String> = servers.iter().flat_map(|s| s.ids()).collect();
+    assert_eq!(seen.len() - before, served.len());
+    served.sort();
+    seen.sort();
+    assert!(served.iter().all(|id| seen.binary_search(id).is_ok()));
+    assert!(gateway.ended().success());
+}
+
+#[test]
+fn a_process_killed_as_a_request_comes_knows_nothing_of_it_once_it_is_back() {
+    let (servers, discovery, mut gateway) = stage(vec![serve()]);
+    let same = id();
+    let mut client = gateway.client();
+    client.write(&request(&same, false));
+    gateway.killed_and_started_anew(&discovery);
+    // Its answer came before the process was killed, or never does.
+    assert!(client.answer().is_none_or(|answer| answer.status() == 200));
+    assert_eq!(gateway.client().say(&request(&same, false)).status(), 200);
+    assert!((1..=2).contains(&servers[0].ids().len()));
+}
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -6,7 +6,8 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 /// First and longest pause after a failed accept. Guards against a full table of descriptors: connections
 /// wait in the kernel's queue, those open go on, and the loop does not spin.
@@ -30,27 +31,46 @@
 
 /// Keeps things open while it lives.
 #[derive(Debug)]
-pub struct Hold(#[allow(dead_code, reason = "its end is what counts")] Sender<()>);
+pub struct Hold {
+    since: Arc<OnceLock<Instant>>,
+    _open: Sender<()>,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        // Before the channel closes, which wakes whoever waits for it.
+        let _ = self.since.set(Instant::now());
+    }
+}
 
 /// Tells everyone who holds a clone that the process closes.
 #[derive(Clone, Debug)]
-pub struct Closing(Receiver<()>);
+pub struct Closing {
+    since: Arc<OnceLock<Instant>>,
+    open: Receiver<()>,
+}
 
 impl Closing {
     /// A pair: dropping the hold closes.
     pub fn new() -> (Hold, Closing) {
-        let (sender, receiver) = async_channel::bounded(1);
-        (Hold(sender), Closing(receiver))
+        let (sender, open) = async_channel::bounded(1);
+        let since = Arc::new(OnceLock::new());
+        (Hold { since: since.clone(), _open: sender }, Closing { since, open })
     }
 
     /// Whether it has begun.
     pub fn begun(&self) -> bool {
-        self.0.is_closed()
+        self.since().is_some()
+    }
+
+    /// When it began.
+    pub fn since(&self) -> Option<Instant> {
+        self.since.get().copied()
     }
 
     /// Waits until it begins.
     pub async fn wait(&self) {
-        let _ = self.0.recv().await;
+        let _ = self.open.recv().await;
     }
 }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -12,7 +12,7 @@
 use frostgauge_gateway::daemon::exit;
 use frostgauge_gateway::engine::Message;
 use frostgauge_hosting::times::{ACCEPT, SLACK};
-use frostgauge_net::{listen, or_closing, Closing};
+use frostgauge_net::{listen, or_closing, until, Closing};
 use frostgauge_platform::config::{Config, MOST_BYTES};
 use futures_lite::StreamExt;
 use rand::{RngExt, SeedableRng};
@@ -107,8 +107,8 @@
         drop(close);
         Timer::after(ACCEPT).await;
         drop(stop);
-        door.await;
         let end = Instant::now() + Duration::from_micros(longest) + SLACK;
+        let _ = until(end, door).await;
         while handle.shared.seats.taken() > 0 && Instant::now() < end {
             Timer::after(LOOK).await;
         }
@@ -174,10 +174,18 @@
                 tracing::warn!(%error, "cannot accept");
                 Timer::after(LOOK).await;
             }
-            None if stopped.begun() => return,
+            None if stopped.begun() => break,
             None => {
                 Timer::after(LOOK).await;
             }
         }
     }
+    // What stands in the kernel's queue may have been written to already. Guards against requests that were taken for
+    // this process while all seats were, and would be reset with the listener.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        let Ok(stream) = Async::new(stream) else { continue };
+        let _ = stream.get_ref().set_nodelay(true);
+        let seat = handle.shared.seats.take().await;
+        tasks.spawn(front::serve(stream, seat, handle.clone(), closing.clone())).detach();
+    }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,7 +7,7 @@
 use async_io::Async;
 use frostgauge_gateway::engine::{Message, Reply};
 use frostgauge_gateway::reply::Final;
-use frostgauge_hosting::times::{CLOSING, FIRST, IDLE, LINGER, WHOLE, WRITE};
+use frostgauge_hosting::times::{ACCEPT, CLOSING, FIRST, IDLE, LINGER, WHOLE, WRITE};
 use frostgauge_net::{or_closing, read_some, until, Closing, Timed};
 use frostgauge_platform::request::{self, Bad};
 use frostgauge_proto::http::{
@@ -67,7 +67,7 @@
     loop {
         match connection.one().await {
             Ok(true) => {}
-            Ok(false) => return connection.linger().await,
+            Ok(false) => return connection.part().await,
             Err(End::Close) => return,
             Err(End::Say(bad)) => {
                 tracing::debug!(status = bad.status, reason = bad.reason, "turned away");
@@ -120,6 +120,9 @@
         let front: Arc<Front> = self.handle.shared.clone();
         let asked = request::read(&front.site, &head, framing != Framing::Length(0)).map_err(End::Say)?;
         let (body, held) = self.body(&mut reader, framing).await?;
+        if self.closing.since().is_some_and(|since| Instant::now() > since + ACCEPT) {
+            return self.turn_away_late().await;
+        }
         let arrived = self.handle.clock.now();
         let Some(open) = front.open(asked.id.clone()) else {
             return Err(End::Say(Bad { status: 409, reason: "a request with this id is open" }));
@@ -152,7 +155,8 @@
             self.handle.send(Message::Left(ticket)).await;
             return Err(End::Close);
         };
-        let close = !persists || self.closing.begun();
+        // What was read ahead is owed its answer too.
+        let close = !persists || self.closing.begun() && self.buf.is_empty();
         let mut out = Vec::new();
         let mut room = None;
         match reply {
@@ -180,6 +184,16 @@
         Ok(!close)
     }
 
+    /// Refuses a request that was read ahead and whose turn comes when it could not be answered before the end.
+    async fn turn_away_late(&mut self) -> Result<bool, End> {
+        self.used = true;
+        let close = self.buf.is_empty();
+        let mut out = Vec::new();
+        own(&mut out, 503, None, close, "the process closes");
+        self.write(&out).await?;
+        Ok(!close)
+    }
+
     /// Waits until the client leaves: while an answer is awaited, the connection is read on.
     async fn left(&mut self) {
         self.ahead.truncate(self.buf.len() / AHEAD.0);
@@ -198,13 +212,36 @@
         }
     }
 
+    /// How long a request that has begun may take to come whole, as of now.
+    fn whole(&self) -> Instant {
+        if self.used {
+            Instant::now() + WHOLE
+        } else {
+            self.opened + FIRST
+        }
+    }
+
+    /// A limit for a request that has begun, once the process closes. Guards against one that comes whole so late that
+    /// its answer would be due when the process has ended.
+    fn before_end(&self, limit: Instant) -> Instant {
+        self.closing.since().map_or(limit, |since| limit.min(since + ACCEPT))
+    }
+
+    /// What a client is told whose request did not come whole in time.
+    fn late(&self) -> End {
+        End::Say(if self.closing.begun() {
+            Bad { status: 503, reason: "the process closes" }
+        } else {
+            Bad { status: 408, reason: "the request did not come whole in time" }
+        })
+    }
+
     /// The next head.
     async fn head(&mut self) -> Result<Head, End> {
         let mut reader = HeadReader::default();
         let mut begun = !self.buf.is_empty();
         let mut deadline = match (self.used, begun) {
-            (false, _) => self.opened + FIRST,
-            (true, true) => Instant::now() + WHOLE,
+            (false, _) | (true, true) => self.whole(),
             (true, false) => Instant::now() + IDLE,
         };
         let mut closing = self.closing.begun();
@@ -219,32 +256,30 @@
             }
             if !begun && !self.buf.is_empty() {
                 begun = true;
-                deadline = if self.used { Instant::now() + WHOLE } else { self.opened + FIRST };
+                deadline = self.whole();
             }
+            let limit = if begun { self.before_end(deadline) } else { deadline };
             let idle = self.seat.idle(self.used);
             let (stream, buf) = (&self.stream, &mut self.buf);
-            let read = async { Some(until(deadline, read_some(&mut &*stream, buf)).await) };
+            let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
             let asked = async {
                 idle.asked().await;
                 Some(Timed::Late)
             };
             let wait = or(read, asked);
-            let got = if closing || begun { wait.await } else { or_closing(&self.closing, wait).await };
+            let got = if closing { wait.await } else { or_closing(&self.closing, wait).await };
             drop(idle);
             match got {
                 // The process closes: it goes on reading for a while, since a request may be on its way.
                 None => {
                     closing = true;
-                    deadline = Instant::now() + CLOSING;
+                    if !begun {
+                        deadline = Instant::now() + CLOSING;
+                    }
                 }
                 Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
                 Some(Timed::Done(Ok(_))) => {}
-                Some(Timed::Late) if begun => {
-                    return Err(End::Say(Bad {
-                        status: 408,
-                        reason: "the request did not come whole in time",
-                    }));
-                }
+                Some(Timed::Late) if begun => return Err(self.late()),
                 Some(Timed::Late) => return Err(End::Close),
             }
         }
@@ -267,7 +302,7 @@
         if held.is_none() {
             return Err(End::Say(Bad { status: 503, reason: "no room for the content" }));
         }
-        let deadline = if self.used { Instant::now() + WHOLE } else { self.opened + FIRST };
+        let deadline = self.whole();
         let mut body = Vec::new();
         loop {
             let taken = reader.push(&self.buf, &mut body)?;
@@ -275,15 +310,15 @@
             if reader.done() {
                 return Ok((body, held));
             }
-            match until(deadline, read_some(&mut &self.stream, &mut self.buf)).await {
-                Timed::Done(Ok(0) | Err(_)) => return Err(End::Close),
-                Timed::Done(Ok(_)) => {}
-                Timed::Late => {
-                    return Err(End::Say(Bad {
-                        status: 408,
-                        reason: "the request did not come whole in time",
-                    }));
-                }
+            let (limit, closing) = (self.before_end(deadline), self.closing.begun());
+            let (stream, buf) = (&self.stream, &mut self.buf);
+            let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
+            match if closing { read.await } else { or_closing(&self.closing, read).await } {
+                // The process closes: there is another limit now.
+                None => {}
+                Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
+                Some(Timed::Done(Ok(_))) => {}
+                Some(Timed::Late) => return Err(self.late()),
             }
         }
     }
@@ -295,6 +330,14 @@
         }
     }
 
+    /// Closes after an answer that said so, once the client has closed or after a while. What it sends all the same
+    /// stays unread, which it is told by a reset: guards against a request that is read and thrown away, which its
+    /// client would take for one that may have run.
+    async fn part(self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let _ = until(Instant::now() + LINGER.0, self.stream.readable()).await;
+    }
+
     /// Closes the sending side, and reads a little of what still comes.
     async fn linger(self) {
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
