--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -131,6 +131,48 @@
     assert_eq!(host.core.counts().left, 2);
 }
 
+#[test]
+fn a_client_that_leaves_as_its_attempt_ends_gets_nothing_more_whichever_is_seen_first() {
+    for left_first in [true, false] {
+        let mut host = Host::new();
+        let call = host.call(READ, 1);
+        host.verdict(1, Some("serra"));
+        if left_first {
+            host.input(Input::Left { ticket: call });
+            host.end(call, 0, Status::ConnectFailed);
+            assert!(host.out_of(call).is_empty(), "no further attempt");
+        } else {
+            host.end(call, 0, Status::ConnectFailed);
+            host.input(Input::Left { ticket: call });
+            assert_eq!(host.out_of(call), [1], "decided before the client was seen to leave");
+            // It ends so before its first byte, as its client is gone.
+            host.end(call, 1, Status::Moot);
+        }
+        host.pass(5 * S);
+        assert!(host.out_of(call).is_empty() && host.answer(call).is_none());
+        assert_eq!((host.core.open(), host.core.counts().left), (0, 1));
+    }
+}
+
+#[test]
+fn an_answer_in_the_instant_of_the_deadline_is_one_answer_whichever_is_seen_first() {
+    for answer_first in [true, false] {
+        let mut host = Host::new();
+        let call = host.call_waiting(REPORT, 1, 500 * MS);
+        host.verdict(1, Some("serra"));
+        let due = host.core.next_wake().into_iter().chain([host.now + 500 * MS]).max().expect("a time");
+        if answer_first {
+            host.end(call, 0, Status::Ok);
+            host.pass(due - host.now);
+            assert_eq!(host.answer(call), Some(None), "the node's");
+        } else {
+            host.pass(due - host.now);
+            assert_eq!(host.answer(call), Some(Some(Final::Failed(Failed::Timeout))));
+            assert!(host.out_of(call).is_empty(), "its attempt is called off, and its answer nobody's");
+        }
+    }
+}
+
 #[test]
 fn a_report_whose_connection_broke_fails_and_one_that_never_left_goes_elsewhere() {
     let mut host = Host::new();
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -173,6 +173,59 @@
     assert!(to_cold as f64 > most / 8.0, "{to_cold} of {total}, at least {}", most / 8.0);
 }
 
+/// What a cold server may get at most within the settings' time, of requests of which a warm one takes so many a second.
+fn cold_part(rules: &Rules, up: Micros, rate: f64) -> f64 {
+    let ramp = rules.cold_from + (1.0 - rules.cold_from) * up as f64 / rules.cold as f64;
+    let part = rules.fall_multiple * ramp * rate * rules.fall as f64 / S as f64;
+    part + if part < 30.0 { 3.0 * part.sqrt() + 3.0 } else { 2.0 * part.sqrt() + 2.0 }
+}
+
+#[test]
+fn a_server_back_cold_under_new_ids_at_restarting_gateways_gets_its_part() {
+    const GATEWAYS: usize = 25;
+    const STEP: Micros = 100 * MS;
+    let rules = settings().rules;
+    // One server joins, and is there again under another id a second later, and again.
+    let starts = [(20, 3 * S), (21, 4 * S), (22, 5 * S)];
+    let fresh = |me: usize, life: u64| gateway(metered(), me, GATEWAYS, life * 1_000 + me as u64);
+    let mut all: Vec<Gateway> = (0..GATEWAYS).map(|me| fresh(me, 1)).collect();
+    let (mut went, mut warm) = (vec![Vec::new(); starts.len()], 0);
+    for step in 0..100 {
+        for (me, g) in all.iter_mut().enumerate() {
+            let now = 2 * S + step * STEP + me as u64 * 3 * MS;
+            // A fifth of them is restarted in each second of the ramp.
+            let restarted = step > 20 && step % 10 == 5 && me % 5 == (step / 10 % 5) as usize;
+            if restarted {
+                *g = fresh(me, 2 + step);
+            }
+            let list = |(server, at): &(u64, Micros)| {
+                let state = if now < at + S || *server == 22 { State::Ready } else { State::Gone };
+                Entry { ready_at: *at, state, ..entry(*server, 0) }
+            };
+            let entries = starts.iter().filter(|(_, at)| now >= *at).map(list).collect();
+            g.handle(now, Event::Servers { kind: ListKind::Delta, entries }, &mut Vec::new());
+            g.handle(now, Event::Timer { timer: TimerId(u64::MAX) }, &mut Vec::new());
+            let Some(server) = play(g, now, 100 + step, 1_000 * me as u64 + step, GATEWAYS) else { continue };
+            served(g, now + 50 * MS, 100 + step, server, 0.0);
+            match starts.iter().position(|(id, _)| *id == server.0) {
+                Some(k) => went[k].push(now),
+                None => warm += 1,
+            }
+        }
+    }
+    // Ten servers that are warm, ten seconds.
+    let rate = warm as f64 / 10.0 / 10.0;
+    for ((_, start), moments) in starts.iter().zip(&went) {
+        assert!(!moments.is_empty());
+        for from in moments {
+            let until = from + rules.fall;
+            let got = moments.iter().filter(|at| (*from..until).contains(at)).count();
+            let most = cold_part(&rules, until - start, rate);
+            assert!(got as f64 <= most, "{got} of {most} from {from} to {until}");
+        }
+    }
+}
+
 #[test]
 fn ceilings_add_up_over_all_gateways_and_restarts() {
     let mut s = metered();
