--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -2,7 +2,7 @@
 //! the clients may stay, how long connections are waited for and kept, when the list of servers is asked for. Time
 //! and chance are handed in. Quotas, routing, attempts, health and advice are the library's.
 
-pub mod seating;
+pub mod client_permits;
 pub mod shares;
 pub mod times;
 pub mod watch;
--- a/crates/hosting/src/shares.rs
+++ b/crates/hosting/src/shares.rs
@@ -2,12 +2,12 @@
 
 /// Descriptors that are neither clients' nor servers': standard streams, the reactor's, listeners, discovery (two
 /// while it moves), datagrams, signals, the configuration while it is read, and connections between accepting and
-/// taking a seat.
+/// taking a permit.
 const OWN: usize = 24;
 /// Most bytes of one answer's content.
 const ANSWER: usize = 64 << 10;
 
-/// Most requests open at once, where the settings tell no other number: over any number of clients' seats.
+/// Most requests open at once, where the settings tell no other number: over any number of clients' permits.
 pub const MOST_OPEN: usize = 20_000;
 
 /// Descriptors for each side, so that neither can starve the other.
--- a/crates/hosting/src/times.rs
+++ b/crates/hosting/src/times.rs
@@ -30,7 +30,7 @@
 
 /// Times of connections to servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Links {
+pub struct ConnectionTimes {
     /// A new connection must stand by then.
     pub connect: Duration,
     /// From the decision to the first byte, at most: guards against an attempt that is decided, waits for its
@@ -46,13 +46,13 @@
     pub whole: Duration,
 }
 
-impl Links {
+impl ConnectionTimes {
     /// From the settings' times in microseconds; 0 means that none is told.
-    pub fn of(connect_us: u64, idle_us: u64, drain_grace_us: u64) -> Links {
+    pub fn of(connect_us: u64, idle_us: u64, drain_grace_us: u64) -> ConnectionTimes {
         let told = |us: u64, or: Duration| if us > 0 { Duration::from_micros(us) } else { or };
         let connect = told(connect_us, UNTOLD.0);
         let idle = if idle_us > 0 { Duration::from_micros(idle_us) * 3 / 4 } else { UNTOLD.1 };
-        Links {
+        ConnectionTimes {
             connect,
             first_byte: told(drain_grace_us, connect).min(2 * connect),
             idle,
--- a/crates/hosting/tests/hosting.rs
+++ b/crates/hosting/tests/hosting.rs
@@ -1,9 +1,9 @@
 //! The host's decisions, by hand and against whatever order things come in.
 
 use frostgauge::ListKind;
-use frostgauge_hosting::seating::{Arrival, Seating};
+use frostgauge_hosting::client_permits::{Arrival, ClientPermits};
 use frostgauge_hosting::shares::Shares;
-use frostgauge_hosting::times::{last_byte, Links};
+use frostgauge_hosting::times::{last_byte, ConnectionTimes};
 use frostgauge_hosting::watch::{Watch, HOLD_MS, LATE_MS};
 use std::time::Duration;
 
@@ -24,40 +24,41 @@
 
 #[test]
 fn who_never_asked_leaves_first_then_who_is_idle_longest() {
-    let mut seating = Seating::new(3, 3);
-    assert!((0..3).all(|_| seating.arrive() == Arrival::Seated));
-    let (used, silent) = (seating.waits(true).0, seating.waits(false).0);
-    assert_eq!(seating.arrive(), Arrival::Ask(silent));
-    assert_eq!(seating.arrive(), Arrival::Wait, "one leaves for one that comes");
-    assert!(seating.waits_no_longer(silent));
-    seating.left();
-    assert_eq!(seating.arrive(), Arrival::Seated);
+    let mut clients = ClientPermits::new(3, 3);
+    assert!((0..3).all(|_| clients.arrive() == Arrival::Granted));
+    let (used, silent) = (clients.becomes_idle(true).0, clients.becomes_idle(false).0);
+    assert_eq!(clients.arrive(), Arrival::Ask(silent));
+    assert_eq!(clients.arrive(), Arrival::Wait, "one leaves for one that comes");
+    assert!(clients.no_longer_idle(silent));
+    clients.left();
+    assert_eq!(clients.arrive(), Arrival::Granted);
     // A request came before the one asked has left: it stays, and another may be asked.
-    assert_eq!(seating.arrive(), Arrival::Ask(used));
-    let again = seating.waits(true).0;
-    assert!(seating.waits_no_longer(used));
-    assert_eq!(seating.arrive(), Arrival::Ask(again));
-    assert_eq!(seating.taken(), 3);
+    assert_eq!(clients.arrive(), Arrival::Ask(used));
+    let again = clients.becomes_idle(true).0;
+    assert!(clients.no_longer_idle(used));
+    assert_eq!(clients.arrive(), Arrival::Ask(again));
+    assert_eq!(clients.taken(), 3);
 }
 
 #[test]
 fn kept_connections_without_a_request_are_bounded_by_themselves() {
-    let mut seating = Seating::new(100, 2);
-    let (silent, one, two) = (seating.waits(false), seating.waits(true), seating.waits(true));
+    let mut clients = ClientPermits::new(100, 2);
+    let (silent, one, two) =
+        (clients.becomes_idle(false), clients.becomes_idle(true), clients.becomes_idle(true));
     assert_eq!((silent.1, one.1, two.1), (None, None, None), "who never asked may be about to");
-    assert_eq!(seating.waits(true).1, Some(one.0), "idle longest");
-    assert!(!seating.waits_no_longer(one.0), "it makes room for nobody in particular");
-    assert_eq!(seating.waits(true).1, Some(two.0));
+    assert_eq!(clients.becomes_idle(true).1, Some(one.0), "idle longest");
+    assert!(!clients.no_longer_idle(one.0), "it makes room for nobody in particular");
+    assert_eq!(clients.becomes_idle(true).1, Some(two.0));
 }
 
 #[test]
 fn times_of_links_stay_inside_those_of_the_settings() {
-    let links = Links::of(250_000, 15_000_000, 300_000);
+    let links = ConnectionTimes::of(250_000, 15_000_000, 300_000);
     assert!(links.idle < Duration::from_secs(15) && links.first_byte <= Duration::from_millis(300));
-    let untold = Links::of(0, 0, 0);
+    let untold = ConnectionTimes::of(0, 0, 0);
     assert!(untold.idle > Duration::ZERO && untold.first_byte >= untold.connect);
     for trip in [0, 700, 40_000] {
-        let pause = last_byte(Duration::from_micros(trip), Links::of(0, 0, 0).pause);
+        let pause = last_byte(Duration::from_micros(trip), ConnectionTimes::of(0, 0, 0).pause);
         assert!((Duration::from_millis(1)..=Duration::from_millis(5)).contains(&pause));
     }
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -109,10 +109,10 @@
         drop(stop);
         let end = Instant::now() + Duration::from_micros(longest) + SLACK;
         let _ = until(end, door).await;
-        while handle.shared.seats.taken() > 0 && Instant::now() < end {
+        while handle.shared.permits.taken() > 0 && Instant::now() < end {
             Timer::after(LOOK).await;
         }
-        let open = handle.shared.seats.taken();
+        let open = handle.shared.permits.taken();
         tracing::info!(open, "closed");
         if open == 0 {
             exit::DONE
@@ -149,7 +149,7 @@
     }
 }
 
-/// Accepts until told to stop; each connection gets a seat, for which an idle one may have to leave.
+/// Accepts until told to stop; each connection gets a permit, for which an idle one may have to leave.
 async fn accept(
     listener: Async<TcpListener>,
     handle: Handle,
@@ -159,18 +159,18 @@
 ) {
     loop {
         let next = async {
-            // The seat comes first: without one, connections wait in the kernel's queue and nothing spins.
+            // The permit comes first: without one, connections wait in the kernel's queue and nothing spins.
             listener.readable().await.ok()?;
-            let seat = handle.shared.seats.take().await;
-            Some((listener.accept().await, seat))
+            let permit = handle.shared.permits.take().await;
+            Some((listener.accept().await, permit))
         };
         match or_closing(&stopped, next).await {
-            Some((Ok((stream, _)), seat)) => {
+            Some((Ok((stream, _)), permit)) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                tasks.spawn(front::serve(stream, seat, handle.clone(), closing.clone())).detach();
+                tasks.spawn(front::serve(stream, permit, handle.clone(), closing.clone())).detach();
             }
-            Some((Err(error), seat)) => {
-                drop(seat);
+            Some((Err(error), permit)) => {
+                drop(permit);
                 tracing::warn!(%error, "cannot accept");
                 Timer::after(LOOK).await;
             }
@@ -181,11 +181,11 @@
         }
     }
     // What stands in the kernel's queue may have been written to already. Guards against requests that were taken for
-    // this process while all seats were, and would be reset with the listener.
+    // this process while all permits were, and would be reset with the listener.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         let Ok(stream) = Async::new(stream) else { continue };
         let _ = stream.get_ref().set_nodelay(true);
-        let seat = handle.shared.seats.take().await;
-        tasks.spawn(front::serve(stream, seat, handle.clone(), closing.clone())).detach();
+        let permit = handle.shared.permits.take().await;
+        tasks.spawn(front::serve(stream, permit, handle.clone(), closing.clone())).detach();
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -29,14 +29,14 @@
     inbox: Sender<Message<Platform>>,
     mut roll: impl FnMut() -> f64,
 ) {
-    let (mut watch, mut link, mut failing) = (Watch::default(), None, false);
+    let (mut watch, mut connection, mut failing) = (Watch::default(), None, false);
     loop {
         let moved = async { Step::Moved(next_move(&moves).await) };
-        let called = async { Step::Called(call(&watch, address, &mut link).await) };
+        let called = async { Step::Called(call(&watch, address, &mut connection).await) };
         let answer = match futures_lite::future::or(moved, called).await {
             Step::Called(answer) => answer,
             Step::Moved(to) => {
-                (address, link) = (to, None);
+                (address, connection) = (to, None);
                 watch.moved();
                 tracing::info!(%address, "discovery moved");
                 continue;
@@ -57,7 +57,7 @@
                 }
             }
             Err(failed) => {
-                link = None;
+                connection = None;
                 let (unreadable, reason) = match failed {
                     Failed::Silent(reason) => (false, reason),
                     Failed::Unreadable(reason) => (true, reason),
@@ -92,12 +92,16 @@
     }
 }
 
-async fn call(watch: &Watch, to: SocketAddr, link: &mut Option<Async<TcpStream>>) -> Result<List, Failed> {
+async fn call(
+    watch: &Watch,
+    to: SocketAddr,
+    connection: &mut Option<Async<TcpStream>>,
+) -> Result<List, Failed> {
     let (ask, patience) = watch.next();
     let target = targets::call(ask);
     let silent = |e: std::io::Error| Failed::Silent(e.to_string());
     let late = || Failed::Silent("no answer in time".to_owned());
-    let stream = match link.take() {
+    let stream = match connection.take() {
         Some(stream) => stream,
         None => {
             let limit = Instant::now() + Duration::from_millis(LATE_MS);
@@ -125,6 +129,6 @@
         return Err(Failed::Silent(format!("status {}", response.head.status())));
     }
     let list = List::read(&response.body).map_err(Failed::Unreadable)?;
-    *link = keep.then_some(stream);
+    *connection = keep.then_some(stream);
     Ok(list)
 }
--- /dev/null
+++ b/crates/node/src/front/mod.rs
@@ -0,0 +1,195 @@
+//! Clients: one request at a time on a connection, answered before the next is read.
+
+mod answer;
+mod read;
+
+use crate::outside::{Call, Front, Handle};
+use crate::permits::ConnectionPermit;
+use crate::semaphore::SemaphorePermit;
+use crate::upstream::Forward;
+use async_io::Async;
+use frostgauge_gateway::clock::Micros;
+use frostgauge_gateway::engine::{Message, Reply};
+use frostgauge_hosting::times::{ACCEPT, LINGER, WRITE};
+use frostgauge_net::{read_some, until, Closing, Timed};
+use frostgauge_platform::request::{self, Rejection, Request};
+use frostgauge_proto::http::{BodyReader, Framing, Head, HttpError, Limits};
+use futures_lite::future::or;
+use futures_lite::AsyncWriteExt;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Bounds on a request: content as the protocol has it, heads with room to spare.
+const REQUEST: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
+/// Why a connection ends.
+enum End {
+    /// The client left, or there is nothing to say.
+    Close,
+    /// What it sent is turned away, and nothing further is read.
+    Reject(Rejection),
+}
+
+impl From<HttpError> for End {
+    fn from(error: HttpError) -> End {
+        End::Reject(Rejection { status: error.status(), reason: "the request cannot be read" })
+    }
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    permit: ConnectionPermit,
+    handle: Handle,
+    closing: Closing,
+    buf: Vec<u8>,
+    /// What was read ahead beyond the first piece, of the bytes that may be held for all clients.
+    ahead: Vec<SemaphorePermit>,
+    used: bool,
+    opened: Instant,
+}
+
+/// Serves a connection to its end.
+pub async fn serve(stream: Async<TcpStream>, permit: ConnectionPermit, handle: Handle, closing: Closing) {
+    let mut connection = Connection {
+        stream,
+        permit,
+        handle,
+        closing,
+        buf: Vec::new(),
+        ahead: Vec::new(),
+        used: false,
+        opened: Instant::now(),
+    };
+    loop {
+        match connection.one().await {
+            Ok(true) => {}
+            Ok(false) => return connection.close_unread().await,
+            Err(End::Close) => return,
+            Err(End::Reject(bad)) => {
+                tracing::debug!(status = bad.status, reason = bad.reason, "turned away");
+                let mut out = Vec::new();
+                answer::own(&mut out, bad.status, None, true, bad.reason);
+                if connection.write(&out).await.is_ok() {
+                    connection.linger().await;
+                }
+                return;
+            }
+        }
+    }
+}
+
+impl Connection {
+    /// One request and its answer; whether another may follow.
+    async fn one(&mut self) -> Result<bool, End> {
+        let head = self.head().await?;
+        let framing = head.request_framing()?;
+        if head.method() == "GET" && head.target() == "/-/ready" {
+            return self.tell_whether_ready(&head, framing).await;
+        }
+        let mut reader = BodyReader::new(framing, &REQUEST)?;
+        let front: Arc<Front> = self.handle.shared.clone();
+        let asked = request::read(&front.site, &head, framing != Framing::Length(0)).map_err(End::Reject)?;
+        let (body, held) = self.body(&mut reader, framing).await?;
+        if self.closing.since().is_some_and(|since| Instant::now() > since + ACCEPT) {
+            return self.turn_away_late().await;
+        }
+        let arrived = self.handle.clock.now();
+        let Some(open) = front.open(asked.id.clone()) else {
+            return Err(End::Reject(Rejection { status: 409, reason: "a request with this id is open" }));
+        };
+        self.used = true;
+        let persists = head.persists();
+        let reply = self.ask(asked, arrived, Forward { head, body }).await?;
+        drop(held);
+        // What was read ahead is owed its answer too.
+        let close = !persists || self.closing.begun() && self.buf.is_empty();
+        let mut out = Vec::new();
+        let room = answer::reply(&mut out, reply, close, &front.bytes);
+        let written = self.write(&out).await;
+        // The id is free once the answer is out, not before.
+        drop((open, room));
+        written?;
+        Ok(!close)
+    }
+
+    /// Hands a request to the engine; its reply, unless the client leaves first.
+    async fn ask(&mut self, caller: Request, arrived: Micros, forward: Forward) -> Result<Reply, End> {
+        let (reply, answer) = async_channel::bounded(1);
+        let call = Call {
+            ticket: self.handle.ticket(),
+            arrived,
+            patience: caller.patience,
+            repeat: caller.repeat,
+            caller,
+            forward: Arc::new(forward),
+            reply,
+        };
+        let ticket = call.ticket;
+        if !self.handle.send(Message::Call(Box::new(call))).await {
+            return Err(End::Close);
+        }
+        let left = async {
+            self.left().await;
+            None
+        };
+        if let Some(reply) = or(async { answer.recv().await.ok() }, left).await {
+            return Ok(reply);
+        }
+        // Before the engine hears of it: attempts that have not begun end by this.
+        drop(answer);
+        self.handle.send(Message::Left(ticket)).await;
+        Err(End::Close)
+    }
+
+    /// Answers the question whether requests can be served.
+    async fn tell_whether_ready(&mut self, head: &Head, framing: Framing) -> Result<bool, End> {
+        let ready = self.handle.shared.ready.load(Ordering::Relaxed) && !self.closing.begun();
+        let close = self.closing.begun() || !head.persists() || framing != Framing::Length(0);
+        let mut out = Vec::new();
+        answer::own(&mut out, if ready { 200 } else { 503 }, None, close, "");
+        self.write(&out).await?;
+        Ok(!close)
+    }
+
+    /// Refuses a request that was read ahead and whose turn comes when it could not be answered before the end.
+    async fn turn_away_late(&mut self) -> Result<bool, End> {
+        self.used = true;
+        let close = self.buf.is_empty();
+        let mut out = Vec::new();
+        answer::own(&mut out, 503, None, close, "the process closes");
+        self.write(&out).await?;
+        Ok(!close)
+    }
+
+    async fn write(&self, out: &[u8]) -> Result<(), End> {
+        match until(Instant::now() + WRITE, (&mut &self.stream).write_all(out)).await {
+            Timed::Done(Ok(())) => Ok(()),
+            _ => Err(End::Close),
+        }
+    }
+
+    /// Closes after an answer that said so, once the client has closed or after a while. What it sends all the same
+    /// stays unread, which it is told by a reset: guards against a request that is read and thrown away, which its
+    /// client would take for one that may have run.
+    async fn close_unread(self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let _ = until(Instant::now() + LINGER.0, self.stream.readable()).await;
+    }
+
+    /// Closes the sending side, and reads a little of what still comes.
+    async fn linger(self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let drain = async {
+            let (mut seen, mut all) = (Vec::new(), 0);
+            while all < LINGER.1 {
+                seen.clear();
+                match read_some(&mut &self.stream, &mut seen).await {
+                    Ok(n) if n > 0 => all += n,
+                    _ => return,
+                }
+            }
+        };
+        let _ = until(Instant::now() + LINGER.0, drain).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/read.rs
@@ -0,0 +1,145 @@
+//! Reading from clients: heads, contents, and whether they are still there.
+
+use super::{Connection, End, REQUEST};
+use crate::semaphore::SemaphorePermit;
+use frostgauge_hosting::times::{ACCEPT, CLOSING, FIRST, IDLE, WHOLE};
+use frostgauge_net::{or_closing, read_some, until, Timed};
+use frostgauge_platform::request::Rejection;
+use frostgauge_proto::http::{BodyReader, Framing, Head, HeadReader};
+use futures_lite::future::or;
+use std::time::Instant;
+
+/// Bytes read ahead while an answer is awaited, and how many such pieces more where there is room: as much as the
+/// largest request.
+const AHEAD: (usize, usize) = (4 << 10, 20);
+
+impl Connection {
+    /// Waits until the client leaves: while an answer is awaited, the connection is read on.
+    pub(super) async fn left(&mut self) {
+        self.ahead.truncate(self.buf.len() / AHEAD.0);
+        loop {
+            while self.buf.len() >= AHEAD.0 * (1 + self.ahead.len()) {
+                let more = self.handle.shared.bytes.take(AHEAD.0).filter(|_| self.ahead.len() < AHEAD.1);
+                match more {
+                    Some(more) => self.ahead.push(more),
+                    None => std::future::pending().await,
+                }
+            }
+            match read_some(&mut &self.stream, &mut self.buf).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// How long a request that has begun may take to come whole, as of now.
+    fn whole(&self) -> Instant {
+        if self.used {
+            Instant::now() + WHOLE
+        } else {
+            self.opened + FIRST
+        }
+    }
+
+    /// A limit for a request that has begun, once the process closes. Guards against one that comes whole so late that
+    /// its answer would be due when the process has ended.
+    fn before_end(&self, limit: Instant) -> Instant {
+        self.closing.since().map_or(limit, |since| limit.min(since + ACCEPT))
+    }
+
+    /// What a client is told whose request did not come whole in time.
+    fn late(&self) -> End {
+        End::Reject(if self.closing.begun() {
+            Rejection { status: 503, reason: "the process closes" }
+        } else {
+            Rejection { status: 408, reason: "the request did not come whole in time" }
+        })
+    }
+
+    /// The next head.
+    pub(super) async fn head(&mut self) -> Result<Head, End> {
+        let mut reader = HeadReader::default();
+        let mut begun = !self.buf.is_empty();
+        let mut deadline = match (self.used, begun) {
+            (false, _) | (true, true) => self.whole(),
+            (true, false) => Instant::now() + IDLE,
+        };
+        let mut closing = self.closing.begun();
+        if closing && !begun {
+            deadline = Instant::now() + CLOSING;
+        }
+        loop {
+            if let Some(end) = reader.push(&self.buf, &REQUEST)? {
+                let head = Head::request(&self.buf[..end])?;
+                self.buf.drain(..end);
+                return Ok(head);
+            }
+            if !begun && !self.buf.is_empty() {
+                begun = true;
+                deadline = self.whole();
+            }
+            let limit = if begun { self.before_end(deadline) } else { deadline };
+            let idle = self.permit.idle(self.used);
+            let (stream, buf) = (&self.stream, &mut self.buf);
+            let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
+            let asked = async {
+                idle.asked().await;
+                Some(Timed::Late)
+            };
+            let wait = or(read, asked);
+            let got = if closing { wait.await } else { or_closing(&self.closing, wait).await };
+            drop(idle);
+            match got {
+                // The process closes: it goes on reading for a while, since a request may be on its way.
+                None => {
+                    closing = true;
+                    if !begun {
+                        deadline = Instant::now() + CLOSING;
+                    }
+                }
+                Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
+                Some(Timed::Done(Ok(_))) => {}
+                Some(Timed::Late) if begun => return Err(self.late()),
+                Some(Timed::Late) => return Err(End::Close),
+            }
+        }
+    }
+
+    /// The content, and what it takes of the bytes that may be held for all clients.
+    pub(super) async fn body(
+        &mut self,
+        reader: &mut BodyReader,
+        framing: Framing,
+    ) -> Result<(Vec<u8>, Option<SemaphorePermit>), End> {
+        let bytes = match framing {
+            Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
+            _ => REQUEST.body as usize,
+        };
+        if bytes == 0 {
+            return Ok((Vec::new(), None));
+        }
+        let held = self.handle.shared.bytes.take(bytes);
+        if held.is_none() {
+            return Err(End::Reject(Rejection { status: 503, reason: "no room for the content" }));
+        }
+        let deadline = self.whole();
+        let mut body = Vec::new();
+        loop {
+            let taken = reader.push(&self.buf, &mut body)?;
+            self.buf.drain(..taken);
+            if reader.done() {
+                return Ok((body, held));
+            }
+            let (limit, closing) = (self.before_end(deadline), self.closing.begun());
+            let (stream, buf) = (&self.stream, &mut self.buf);
+            let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
+            match if closing { read.await } else { or_closing(&self.closing, read).await } {
+                // The process closes: there is another limit now.
+                None => {}
+                Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
+                Some(Timed::Done(Ok(_))) => {}
+                Some(Timed::Late) => return Err(self.late()),
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,17 +2,17 @@
 //! the engine and the library that the other fronts use, and from `frostgauge-hosting`; everything runs on one thread.
 //!
 //! - [`daemon`]: start, signals, end.
-//! - [`front`]: clients; [`seats`]: who of them may stay.
-//! - [`outside`]: what lies around the engine; [`table`]: the servers known; [`upstream`]: attempts and probes; [`links`]: connections to servers.
+//! - [`front`]: clients; [`permits`]: who of them may stay.
+//! - [`outside`]: what lies around the engine; [`server_table`]: the servers known; [`upstream`]: attempts and probes; [`pool`]: connections to servers.
 //! - [`discovery`]: the list of servers; [`peers`]: datagrams between gateways.
 
 pub mod daemon;
 pub mod discovery;
 pub mod front;
-pub mod links;
 pub mod outside;
 pub mod peers;
-pub mod seats;
-pub mod stock;
-pub mod table;
+pub mod permits;
+pub mod pool;
+pub mod semaphore;
+pub mod server_table;
 pub mod upstream;
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -1,10 +1,10 @@
 //! What lies around the engine on the platform: callers come with their requests, servers from discovery.
 
-use crate::links::Links;
 use crate::peers::Peers;
-use crate::seats::Seats;
-use crate::stock::Stock;
-use crate::table::Table;
+use crate::permits::ConnectionPermits;
+use crate::pool::ConnectionPool;
+use crate::semaphore::Semaphore;
+use crate::server_table::ServerTable;
 use crate::upstream::{self, Forward, Times};
 use async_executor::{Executor, Task};
 use frostgauge::{Effect, ListKind, ServerId, Status};
@@ -43,10 +43,10 @@
 pub struct Front {
     /// The settings.
     pub site: Site,
-    /// Seats for clients' connections.
-    pub seats: Seats,
+    /// Permits of clients' connections.
+    pub permits: ConnectionPermits,
     /// Bytes of content that may be held for clients.
-    pub bytes: Stock,
+    pub bytes: Semaphore,
     /// Requests can be served.
     pub ready: AtomicBool,
     /// Ids of open requests.
@@ -79,9 +79,9 @@
 pub struct Platform {
     handle: Handle,
     executor: Arc<Executor<'static>>,
-    links: Arc<Links>,
-    times: times::Links,
-    servers: Table,
+    pool: Arc<ConnectionPool>,
+    times: times::ConnectionTimes,
+    servers: ServerTable,
     peers: Option<Peers>,
     scope: Arc<str>,
     swept: Micros,
@@ -101,11 +101,11 @@
     let shares = Shares::of(config.limits.sockets, config.limits.memory_mb);
     let most_open = if site.most_open > 0 { site.most_open } else { MOST_OPEN };
     let core = Core::without_tokens(site.settings.clone(), most_open, config.seed, now)?;
-    let times = times::Links::of(site.connect, site.idle, site.drain_grace);
+    let times = times::ConnectionTimes::of(site.connect, site.idle, site.drain_grace);
     let front = Front {
         site: site.clone(),
-        seats: Seats::new(shares.clients, shares.idle),
-        bytes: Stock::new(shares.bytes),
+        permits: ConnectionPermits::new(shares.clients, shares.idle),
+        bytes: Semaphore::new(shares.bytes),
         ready: AtomicBool::new(false),
         open: Mutex::default(),
     };
@@ -113,9 +113,9 @@
     let outside = Platform {
         handle: handle.clone(),
         executor,
-        links: Arc::new(Links::new(shares.servers, times.idle)),
+        pool: Arc::new(ConnectionPool::new(shares.servers, times.idle)),
         times,
-        servers: Table::default(),
+        servers: ServerTable::default(),
         peers,
         scope: Arc::from(""),
         swept: now,
@@ -125,7 +125,8 @@
 
 impl Platform {
     fn times(&self, timeout: Duration) -> Times {
-        let (now, times::Links { connect, first_byte, pause, whole, .. }) = (Instant::now(), self.times);
+        let (now, times::ConnectionTimes { connect, first_byte, pause, whole, .. }) =
+            (Instant::now(), self.times);
         Times {
             connect,
             first_byte: now + first_byte,
@@ -172,7 +173,7 @@
             News::Listed(kind, targets) => {
                 let site = &self.handle.shared.site;
                 for server in self.servers.listed(site, kind, &targets) {
-                    self.links.forget(server);
+                    self.pool.forget(server);
                 }
                 let entries = targets.iter().map(|t| t.entry(site)).collect();
                 inside.core.listed(now, kind, entries, out);
@@ -195,11 +196,11 @@
         let timeout = Duration::from_micros(timeout);
         let times = Times { repeat_by: self.repeat_by(call.caller.class, ran), ..self.times(timeout) };
         let (forward, client) = (call.forward.clone(), call.client());
-        let (links, front) = (self.links.clone(), self.handle.shared.clone());
+        let (pool, front) = (self.pool.clone(), self.handle.shared.clone());
         self.executor.spawn(async move {
             let request = |left| forward.bytes(to, left);
             let ended =
-                upstream::attempt(&links, &front.site, (server, to), request, times, client.gone()).await;
+                upstream::attempt(&pool, &front.site, (server, to), request, times, client.gone()).await;
             let _ = inbox.send(Message::Ended { ticket, attempt, ended }).await;
         })
     }
@@ -212,11 +213,11 @@
         match command {
             Command::Probe { server } => {
                 let to = self.servers.address(server)?;
-                let (inbox, links, front) =
-                    (self.handle.inbox(), self.links.clone(), self.handle.shared.clone());
+                let (inbox, pool, front) =
+                    (self.handle.inbox(), self.pool.clone(), self.handle.shared.clone());
                 let times = self.times(self.times.connect);
                 let probe = async move {
-                    let ended = upstream::probe(&links, &front.site, (server, to), times).await;
+                    let ended = upstream::probe(&pool, &front.site, (server, to), times).await;
                     let _ = inbox.send(Message::Probed { server, ended }).await;
                 };
                 self.executor.spawn(probe).detach();
@@ -247,7 +248,7 @@
     fn rest(&mut self, now: Micros, _: Inside<'_>) {
         if now >= self.swept + times::SWEEP.as_micros() as Micros {
             self.swept = now;
-            self.links.sweep();
+            self.pool.sweep();
         }
     }
 }
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/permits.rs
@@ -1,49 +1,49 @@
-//! Seats for clients' connections: `hosting`'s [`Seating`] with the tasks that wait on it.
+//! Permits of clients' connections: `hosting`'s [`ClientPermits`] with the tasks that wait on it.
 
 use async_channel::{Receiver, Sender};
-use frostgauge_hosting::seating::{Arrival, Seating, Waiting};
+use frostgauge_hosting::client_permits::{Arrival, ClientPermits, IdleClient};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 #[derive(Debug)]
 struct State {
-    seating: Seating,
+    clients: ClientPermits,
     /// How those who wait for a request are asked to leave.
-    idle: BTreeMap<Waiting, Sender<()>>,
+    idle: BTreeMap<IdleClient, Sender<()>>,
 }
 
 impl State {
-    fn ask(&mut self, waiting: Waiting) {
+    fn ask(&mut self, waiting: IdleClient) {
         let _ = self.idle.remove(&waiting).map(|sender| sender.try_send(()));
     }
 }
 
-/// All seats.
+/// All permits.
 #[derive(Clone, Debug)]
-pub struct Seats {
+pub struct ConnectionPermits {
     state: Arc<Mutex<State>>,
-    /// Something changed for who waits for a seat.
+    /// Something changed for who waits for a permit.
     freed: (Sender<()>, Receiver<()>),
 }
 
-/// One seat; dropping it frees it.
+/// One permit; dropping it frees it.
 #[derive(Debug)]
-pub struct Seat {
-    seats: Seats,
+pub struct ConnectionPermit {
+    permits: ConnectionPermits,
 }
 
-impl Drop for Seat {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
-        self.seats.lock().seating.left();
-        let _ = self.seats.freed.0.try_send(());
+        self.permits.lock().clients.left();
+        let _ = self.permits.freed.0.try_send(());
     }
 }
 
 /// A connection that waits for a request; while it lives, it may be asked to leave.
 #[derive(Debug)]
 pub struct Idle<'a> {
-    seat: &'a Seat,
-    waiting: Waiting,
+    permit: &'a ConnectionPermit,
+    waiting: IdleClient,
     asked: Receiver<()>,
 }
 
@@ -56,55 +56,55 @@
 
 impl Drop for Idle<'_> {
     fn drop(&mut self) {
-        let mut state = self.seat.seats.lock();
+        let mut state = self.permit.permits.lock();
         state.idle.remove(&self.waiting);
-        if state.seating.waits_no_longer(self.waiting) {
+        if state.clients.no_longer_idle(self.waiting) {
             drop(state);
-            let _ = self.seat.seats.freed.0.try_send(());
+            let _ = self.permit.permits.freed.0.try_send(());
         }
     }
 }
 
-impl Seat {
+impl ConnectionPermit {
     /// This connection waits for a request; `used` once it has brought one.
     pub fn idle(&self, used: bool) -> Idle<'_> {
         let (sender, asked) = async_channel::bounded(1);
-        let mut state = self.seats.lock();
-        let (waiting, oldest) = state.seating.waits(used);
+        let mut state = self.permits.lock();
+        let (waiting, oldest) = state.clients.becomes_idle(used);
         state.idle.insert(waiting, sender);
         if let Some(oldest) = oldest {
             state.ask(oldest);
         }
         drop(state);
         // Someone may wait for just this: a connection that could leave.
-        let _ = self.seats.freed.0.try_send(());
-        Idle { seat: self, waiting, asked }
+        let _ = self.permits.freed.0.try_send(());
+        Idle { permit: self, waiting, asked }
     }
 }
 
-impl Seats {
+impl ConnectionPermits {
     /// So many; and so many of them for kept connections without a request.
-    pub fn new(most: usize, most_kept: usize) -> Seats {
-        let state = State { seating: Seating::new(most, most_kept), idle: BTreeMap::new() };
-        Seats { state: Arc::new(Mutex::new(state)), freed: async_channel::bounded(1) }
+    pub fn new(most: usize, most_kept: usize) -> ConnectionPermits {
+        let state = State { clients: ClientPermits::new(most, most_kept), idle: BTreeMap::new() };
+        ConnectionPermits { state: Arc::new(Mutex::new(state)), freed: async_channel::bounded(1) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Seats taken.
+    /// Permits taken.
     pub fn taken(&self) -> usize {
-        self.lock().seating.taken()
+        self.lock().clients.taken()
     }
 
-    /// Waits for a seat, asking someone to leave where there is none.
-    pub async fn take(&self) -> Seat {
+    /// Waits for a permit, asking someone to leave where there is none.
+    pub async fn take(&self) -> ConnectionPermit {
         loop {
             {
                 let mut state = self.lock();
-                match state.seating.arrive() {
-                    Arrival::Seated => return Seat { seats: self.clone() },
+                match state.clients.arrive() {
+                    Arrival::Granted => return ConnectionPermit { permits: self.clone() },
                     Arrival::Ask(waiting) => state.ask(waiting),
                     Arrival::Wait => {}
                 }
--- a/crates/node/src/stock.rs
+++ b/crates/node/src/semaphore.rs
@@ -5,34 +5,34 @@
 
 /// A bounded amount of something, taken and given back.
 #[derive(Clone, Debug)]
-pub struct Stock {
+pub struct Semaphore {
     left: Arc<AtomicUsize>,
 }
 
 /// What was taken; dropping it gives it back.
 #[derive(Debug)]
-pub struct Taken {
-    stock: Arc<AtomicUsize>,
+pub struct SemaphorePermit {
+    semaphore: Arc<AtomicUsize>,
     amount: usize,
 }
 
-impl Drop for Taken {
+impl Drop for SemaphorePermit {
     fn drop(&mut self) {
-        self.stock.fetch_add(self.amount, Ordering::Relaxed);
+        self.semaphore.fetch_add(self.amount, Ordering::Relaxed);
     }
 }
 
-impl Stock {
+impl Semaphore {
     /// So much.
-    pub fn new(amount: usize) -> Stock {
-        Stock { left: Arc::new(AtomicUsize::new(amount)) }
+    pub fn new(amount: usize) -> Semaphore {
+        Semaphore { left: Arc::new(AtomicUsize::new(amount)) }
     }
 
     /// Takes so much, or nothing.
-    pub fn take(&self, amount: usize) -> Option<Taken> {
+    pub fn take(&self, amount: usize) -> Option<SemaphorePermit> {
         let less = |left: usize| left.checked_sub(amount);
         self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).ok()?;
-        Some(Taken { stock: self.left.clone(), amount })
+        Some(SemaphorePermit { semaphore: self.left.clone(), amount })
     }
 
     /// What is left.
--- a/crates/node/src/table.rs
+++ b/crates/node/src/server_table.rs
@@ -15,13 +15,13 @@
 
 /// What is listed, and what attempts are still out to: nothing else stays, however many servers come and go.
 #[derive(Debug, Default)]
-pub struct Table {
+pub struct ServerTable {
     servers: BTreeMap<ServerId, Known>,
     /// Attempts out, by server.
     out: BTreeMap<ServerId, usize>,
 }
 
-impl Table {
+impl ServerTable {
     /// Takes a list, or changes to the one held; the servers to which no connection may be kept: those gone, and those
     /// that started anew or are somewhere else.
     pub fn listed(&mut self, site: &Site, kind: ListKind, targets: &[Target]) -> Vec<ServerId> {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Attempts at servers and probes of them, and what their ends prove.
 
-use crate::links::{Link, Links};
+use crate::pool::{ConnectionPool, PooledConnection};
 use async_io::Timer;
 use frostgauge::{Load, ServerId, Status};
 use frostgauge_gateway::upstream::Ended;
@@ -89,17 +89,17 @@
 /// have. An answer that makes no sense is none: the connection is closed and nothing of it is passed on. `request`
 /// gives its bytes for the time that is left as they are written; `gone` ends once its client has gone.
 pub async fn attempt(
-    links: &Links,
+    pool: &ConnectionPool,
     site: &Site,
     target: (ServerId, SocketAddr),
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
     gone: impl Future<Output = ()>,
 ) -> Ended {
-    match exchange(links, target, request, times, gone).await {
-        Ok((response, link)) => {
-            if let Some(link) = link {
-                links.put(target.0, link);
+    match exchange(pool, target, request, times, gone).await {
+        Ok((response, connection)) => {
+            if let Some(connection) = connection {
+                pool.put(target.0, connection);
             }
             ended(site, response)
         }
@@ -114,10 +114,10 @@
 }
 
 /// A response, and the connection it came on where that may go on.
-type Answered = (Response, Option<Link>);
+type Answered = (Response, Option<PooledConnection>);
 
 async fn exchange(
-    links: &Links,
+    pool: &ConnectionPool,
     target: (ServerId, SocketAddr),
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
@@ -129,36 +129,36 @@
         gone.await;
         Err(Status::Moot)
     };
-    let link = or(gone, send(links, target, request, times)).await?;
-    answered(link, times).await
+    let connection = or(gone, send(pool, target, request, times)).await?;
+    answered(connection, times).await
 }
 
 /// Writes a request whole, on a kept connection or a new one; the connection that it went out on.
 async fn send(
-    links: &Links,
+    pool: &ConnectionPool,
     (server, to): (ServerId, SocketAddr),
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
-) -> Result<Link, Status> {
+) -> Result<PooledConnection, Status> {
     // A process that got no time for so long may have missed that the server was told to drain.
     if times.is_late() {
         return Err(Status::Moot);
     }
-    if let Some(link) = links.take(server) {
-        match write(&link, &request, times).await {
+    if let Some(connection) = pool.take(server) {
+        match write(&connection, &request, times).await {
             // A kept connection that its server had dropped, or that brought something unasked for: not a whole
             // request went out, so no attempt was made.
             Err(Status::Broken) => {}
-            end => return end.map(|()| link),
+            end => return end.map(|()| connection),
         }
     }
-    let link = connect(links, to, times).await?;
-    write(&link, &request, times).await.map(|()| link)
+    let connection = connect(pool, to, times).await?;
+    write(&connection, &request, times).await.map(|()| connection)
 }
 
 /// A new connection.
-async fn connect(links: &Links, to: SocketAddr, times: Times) -> Result<Link, Status> {
-    let place = links.place().ok_or(Status::Moot)?;
+async fn connect(pool: &ConnectionPool, to: SocketAddr, times: Times) -> Result<PooledConnection, Status> {
+    let permit = pool.permit().ok_or(Status::Moot)?;
     let began = Instant::now();
     let limit = times.begin_by().min(times.deadline).min(began + times.connect);
     let stream = match until(limit, async_io::Async::<TcpStream>::connect(to)).await {
@@ -173,7 +173,7 @@
         return Err(Status::Moot);
     }
     let _ = stream.get_ref().set_nodelay(true);
-    Ok(Links::link(stream, place, began.elapsed()))
+    Ok(ConnectionPool::connection(stream, permit, began.elapsed()))
 }
 
 /// Writes a request on a connection.
@@ -183,15 +183,19 @@
 /// connection closed without a word, or reset as the request comes: its end then proves that it has not run. Whatever
 /// has come by then is no answer to this request: guards against a second copy of the one before, still on its way
 /// when the connection was looked at, that would be served as this one's.
-async fn write(link: &Link, request: &impl Fn(Duration) -> Vec<u8>, times: Times) -> Result<(), Status> {
+async fn write(
+    connection: &PooledConnection,
+    request: &impl Fn(Duration) -> Vec<u8>,
+    times: Times,
+) -> Result<(), Status> {
     // Told as it is now: guards against a server that is told of time which its connection took to come up.
     let request = request(times.deadline.saturating_duration_since(Instant::now()));
     let (most, last) = request.split_at(request.len().saturating_sub(1));
     let written = until(times.deadline, async {
-        let mut stream = &link.stream;
+        let mut stream = &connection.stream;
         stream.write_all(most).await?;
-        Timer::after(times::last_byte(link.trip, times.pause)).await;
-        if !link.quiet() {
+        Timer::after(times::last_byte(connection.trip, times.pause)).await;
+        if !connection.quiet() {
             return Err(std::io::ErrorKind::InvalidData.into());
         }
         stream.write_all(last).await
@@ -204,31 +208,39 @@
 }
 
 /// Reads the answer to a request that is written.
-async fn answered(link: Link, times: Times) -> Result<Answered, Status> {
-    let answer = receive(&link.stream, false, &ANSWER, Some(times.whole));
+async fn answered(connection: PooledConnection, times: Times) -> Result<Answered, Status> {
+    let answer = receive(&connection.stream, false, &ANSWER, Some(times.whole));
     match until(times.deadline, answer).await {
-        Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(link))),
+        Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(connection))),
         Timed::Done(Err(_)) => Err(Status::Reset),
         Timed::Late => Err(Status::Timeout),
     }
 }
 
 /// Probes a server: its load where there are reports, else its health.
-pub async fn probe(links: &Links, site: &Site, (server, to): (ServerId, SocketAddr), times: Times) -> Ended {
+pub async fn probe(
+    pool: &ConnectionPool,
+    site: &Site,
+    (server, to): (ServerId, SocketAddr),
+    times: Times,
+) -> Ended {
     let reports = !site.columns.is_empty();
     let path = if reports { "/-/load" } else { "/-/healthy" };
     let mut request = Vec::new();
     let host = to.to_string();
     write_request(&mut request, "GET", path, [("host", host.as_bytes())].into_iter(), Body::None);
-    let (response, link) = match exchange(links, (server, to), |_| request.clone(), times, pending()).await {
-        Ok(answered) => answered,
-        Err(status) => return bare(status),
-    };
+    let (response, connection) =
+        match exchange(pool, (server, to), |_| request.clone(), times, pending()).await {
+            Ok(answered) => answered,
+            Err(status) => return bare(status),
+        };
     let told: Option<Load> = answer::load(site, &response.body);
     // Guards against a second copy of a request's answer that was taken for this one's: the answer to the probe would
     // be served to the next request on the connection.
-    if let Some(link) = link.filter(|_| told.is_some() || !reports || response.head.status() != 200) {
-        links.put(server, link);
+    if let Some(connection) =
+        connection.filter(|_| told.is_some() || !reports || response.head.status() != 200)
+    {
+        pool.put(server, connection);
     }
     let mut ended = ended(site, response);
     ended.load = told.or(ended.load);
--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -4,7 +4,7 @@
 use async_io::{block_on, Async};
 use frostgauge::{ServerId, Status};
 use frostgauge_gateway::upstream::Ended;
-use frostgauge_node::links::Links;
+use frostgauge_node::pool::ConnectionPool;
 use frostgauge_node::upstream::{attempt, probe, Times};
 use frostgauge_platform::settings::{self, Column, Site};
 use futures_lite::future::poll_once;
@@ -49,13 +49,13 @@
     stream
 }
 
-/// Links with one kept connection, and its server's side.
-fn kept(listener: &TcpListener) -> (Links, TcpStream) {
-    let links = Links::new(2, PATIENCE);
+/// A pool with one kept connection, and its server's side.
+fn kept(listener: &TcpListener) -> (ConnectionPool, TcpStream) {
+    let pool = ConnectionPool::new(2, PATIENCE);
     let to = listener.local_addr().expect("an address");
     let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
-    links.put(SERVER, Links::link(ours, links.place().expect("room"), Duration::ZERO));
-    (links, accepted(listener))
+    pool.put(SERVER, ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
+    (pool, accepted(listener))
 }
 
 /// Moves the attempt on until its server's side has bytes; it stands before its last byte then.
@@ -97,8 +97,8 @@
 fn a_kept_connection_reset_before_the_last_byte_gives_way_to_a_new_one() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, (links, theirs)) = (site(), kept(&listener));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
+    let (site, (pool, theirs)) = (site(), kept(&listener));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, times(), pending()));
     until_first_bytes(running.as_mut(), &theirs);
     reset(theirs, &listener);
     let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
@@ -110,8 +110,8 @@
 fn a_second_copy_that_comes_before_the_last_byte_is_nobodys_answer() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, (links, mut theirs)) = (site(), kept(&listener));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
+    let (site, (pool, mut theirs)) = (site(), kept(&listener));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, times(), pending()));
     until_first_bytes(running.as_mut(), &theirs);
     theirs.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold").expect("written");
     let server = std::thread::spawn(move || serve(&mut accepted(&listener)));
@@ -124,7 +124,7 @@
 fn kept_after_probe(answer: &'static [u8]) -> usize {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (mut site, links) = (site(), Links::new(2, PATIENCE));
+    let (mut site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     site.columns = vec![Column::Inflight];
     let server = std::thread::spawn(move || {
         let mut theirs = accepted(&listener);
@@ -138,9 +138,9 @@
         theirs.write_all(answer).expect("answered");
         theirs
     });
-    assert_eq!(block_on(probe(&links, &site, (SERVER, to), times())).status, Status::Ok);
+    assert_eq!(block_on(probe(&pool, &site, (SERVER, to), times())).status, Status::Ok);
     let _open = server.join().expect("answered");
-    links.idle()
+    pool.idle()
 }
 
 #[test]
@@ -154,8 +154,8 @@
 fn a_new_connection_reset_before_the_last_byte_has_not_run_its_request() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), pending()));
+    let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, times(), pending()));
     assert!(block_on(poll_once(running.as_mut())).is_none());
     let theirs = accepted(&listener);
     until_first_bytes(running.as_mut(), &theirs);
@@ -167,9 +167,9 @@
 fn an_attempt_that_got_no_time_until_its_first_byte_was_due_is_not_made() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, (links, theirs)) = (site(), kept(&listener));
+    let (site, (pool, theirs)) = (site(), kept(&listener));
     let late = Times { first_byte: Instant::now() - Duration::from_millis(1), ..times() };
-    assert_eq!(block_on(attempt(&links, &site, (SERVER, to), whole, late, pending())).status, Status::Moot);
+    assert_eq!(block_on(attempt(&pool, &site, (SERVER, to), whole, late, pending())).status, Status::Moot);
     let nothing = theirs.peek(&mut [0]).expect_err("not one byte, and the connection stands");
     assert!(matches!(nothing.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut));
     listener.set_nonblocking(true).expect("set");
@@ -178,7 +178,7 @@
 
 #[test]
 fn an_answer_that_stops_short_ends_the_attempt_before_its_time_is_over() {
-    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     for short in [&ANSWER[..5], &ANSWER[..ANSWER.len() - 1]] {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let to = listener.local_addr().expect("an address");
@@ -195,26 +195,26 @@
         });
         let times = Times { whole: Duration::from_millis(20), ..times() };
         assert_eq!(
-            block_on(attempt(&links, &site, (SERVER, to), whole, times, pending())).status,
+            block_on(attempt(&pool, &site, (SERVER, to), whole, times, pending())).status,
             Status::Reset
         );
         server.join().expect("closed by the gateway");
     }
-    assert_eq!(links.idle(), 0);
+    assert_eq!(pool.idle(), 0);
 }
 
 #[test]
 fn a_connection_that_ends_after_the_last_byte_may_have_run_its_request() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     let server = std::thread::spawn(move || {
         let mut theirs = accepted(&listener);
         theirs.set_read_timeout(Some(PATIENCE)).expect("set");
         theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
     });
     assert_eq!(
-        block_on(attempt(&links, &site, (SERVER, to), whole, times(), pending())).status,
+        block_on(attempt(&pool, &site, (SERVER, to), whole, times(), pending())).status,
         Status::Reset
     );
     server.join().expect("took it");
@@ -236,10 +236,10 @@
 fn a_client_gone_before_the_connection_stands_has_no_attempt() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     let (client, reply) = async_channel::bounded::<()>(1);
     let gone = client.closed();
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), gone));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, times(), gone));
     assert!(block_on(poll_once(running.as_mut())).is_none());
     let mut theirs = accepted(&listener);
     drop(reply);
@@ -250,9 +250,9 @@
 fn a_client_gone_before_the_last_byte_has_no_attempt() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, (links, mut theirs)) = (site(), kept(&listener));
+    let (site, (pool, mut theirs)) = (site(), kept(&listener));
     let (client, reply) = async_channel::bounded::<()>(1);
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, times(), client.closed()));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, times(), client.closed()));
     until_first_bytes(running.as_mut(), &theirs);
     drop(reply);
     called_off(running, &mut theirs, REQUEST.len() - 1);
@@ -262,10 +262,10 @@
 fn a_client_gone_after_the_last_byte_leaves_an_attempt_that_may_run() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, (links, mut theirs)) = (site(), kept(&listener));
+    let (site, (pool, mut theirs)) = (site(), kept(&listener));
     let (client, reply) = async_channel::bounded::<()>(1);
     let quick = Times { pause: (Duration::ZERO, Duration::ZERO), ..times() };
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, quick, client.closed()));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, quick, client.closed()));
     theirs.set_nonblocking(true).expect("set");
     let end = Instant::now() + PATIENCE;
     while !matches!(theirs.peek(&mut [0; 512]), Ok(n) if n == REQUEST.len()) {
@@ -281,13 +281,13 @@
 fn a_server_is_told_the_time_left_when_its_connection_stands() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links, times) = (site(), Links::new(2, PATIENCE), times());
+    let (site, pool, times) = (site(), ConnectionPool::new(2, PATIENCE), times());
     let told = std::cell::Cell::new(None);
     let request = |left| {
         told.set(Some(left));
         REQUEST.to_vec()
     };
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), request, times, pending()));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), request, times, pending()));
     assert!(block_on(poll_once(running.as_mut())).is_none());
     let theirs = accepted(&listener);
     // Time that the connection takes to come up, seen from here.
@@ -301,10 +301,10 @@
 fn a_repeat_whose_window_ends_before_its_connection_stands_is_not_made() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
-    let (site, links) = (site(), Links::new(2, PATIENCE));
+    let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     let window = Instant::now() + Duration::from_millis(50);
     let repeat = Times { repeat_by: Some(window), ..times() };
-    let mut running = pin!(attempt(&links, &site, (SERVER, to), whole, repeat, pending()));
+    let mut running = pin!(attempt(&pool, &site, (SERVER, to), whole, repeat, pending()));
     assert!(block_on(poll_once(running.as_mut())).is_none());
     let mut theirs = accepted(&listener);
     while Instant::now() <= window {
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -1,12 +1,12 @@
-//! Seats, links and stocks: what is bounded stays bounded.
+//! ConnectionPermits, pool and stocks: what is bounded stays bounded.
 
 use async_io::{block_on, Async};
 use frostgauge::{ListKind, ServerId};
 use frostgauge_net::{until, Timed};
-use frostgauge_node::links::Links;
-use frostgauge_node::seats::Seats;
-use frostgauge_node::stock::Stock;
-use frostgauge_node::table::Table;
+use frostgauge_node::permits::ConnectionPermits;
+use frostgauge_node::pool::ConnectionPool;
+use frostgauge_node::semaphore::Semaphore;
+use frostgauge_node::server_table::ServerTable;
 use frostgauge_platform::targets::{Lifecycle, Target};
 use futures_lite::future::poll_once;
 use std::io::Write;
@@ -15,21 +15,21 @@
 
 #[test]
 fn a_stock_is_never_overdrawn_and_comes_back() {
-    let stock = Stock::new(10);
-    let six = stock.take(6).expect("there is room");
-    assert!(stock.take(5).is_none());
-    let four = stock.take(4).expect("there is room");
+    let semaphore = Semaphore::new(10);
+    let six = semaphore.take(6).expect("there is room");
+    assert!(semaphore.take(5).is_none());
+    let four = semaphore.take(4).expect("there is room");
     drop((six, four));
-    assert_eq!(stock.left(), 10);
+    assert_eq!(semaphore.left(), 10);
 }
 
 #[test]
-fn a_seat_goes_to_who_arrives_once_the_one_asked_has_left() {
+fn a_permit_goes_to_who_arrives_once_the_one_asked_has_left() {
     block_on(async {
-        let seats = Seats::new(1, 1);
-        let one = seats.take().await;
+        let permits = ConnectionPermits::new(1, 1);
+        let one = permits.take().await;
         let idle = one.idle(true);
-        let mut next = Box::pin(seats.take());
+        let mut next = Box::pin(permits.take());
         assert!(poll_once(&mut next).await.is_none());
         assert!(poll_once(Box::pin(idle.asked())).await.is_some());
         drop(idle);
@@ -55,29 +55,29 @@
 fn a_link_is_used_again_only_while_quiet_open_and_young() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let (server, other) = (ServerId(1), ServerId(2));
-    let links = Links::new(2, Duration::from_secs(60));
-    let put = |links: &Links, server| {
+    let pool = ConnectionPool::new(2, Duration::from_secs(60));
+    let put = |pool: &ConnectionPool, server| {
         let (ours, theirs) = pair(&listener);
-        links.put(server, Links::link(ours, links.place().expect("room"), Duration::ZERO));
+        pool.put(server, ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
         theirs
     };
-    let kept = put(&links, server);
-    assert!(links.take(other).is_none());
-    let link = links.take(server).expect("quiet and open");
+    let kept = put(&pool, server);
+    assert!(pool.take(other).is_none());
+    let connection = pool.take(server).expect("quiet and open");
     (&kept).write_all(b"unasked").expect("written");
-    came(&link.stream);
-    links.put(server, link);
-    assert!(links.take(server).is_none(), "it brought something unasked for");
-    let closed = put(&links, server);
-    let link = links.take(server).expect("quiet and open");
+    came(&connection.stream);
+    pool.put(server, connection);
+    assert!(pool.take(server).is_none(), "it brought something unasked for");
+    let closed = put(&pool, server);
+    let connection = pool.take(server).expect("quiet and open");
     drop(closed);
-    came(&link.stream);
-    links.put(server, link);
-    assert!(links.take(server).is_none(), "its server closed it");
-    let _kept = put(&links, server);
-    links.forget(server);
-    assert!(links.take(server).is_none(), "a new server does not get the old one's");
-    let old = Links::new(1, Duration::ZERO);
+    came(&connection.stream);
+    pool.put(server, connection);
+    assert!(pool.take(server).is_none(), "its server closed it");
+    let _kept = put(&pool, server);
+    pool.forget(server);
+    assert!(pool.take(server).is_none(), "a new server does not get the old one's");
+    let old = ConnectionPool::new(1, Duration::ZERO);
     let _kept = put(&old, server);
     old.sweep();
     assert_eq!(old.idle(), 0);
@@ -86,15 +86,15 @@
 #[test]
 fn links_are_bounded_in_all_and_the_oldest_idle_makes_room() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let links = Links::new(2, Duration::from_secs(60));
-    let busy = links.place().expect("room");
+    let pool = ConnectionPool::new(2, Duration::from_secs(60));
+    let busy = pool.permit().expect("room");
     let (ours, _theirs) = pair(&listener);
-    links.put(ServerId(1), Links::link(ours, links.place().expect("room"), Duration::ZERO));
-    let new = links.place().expect("the idle one's place");
-    assert_eq!(links.idle(), 0);
-    assert!(links.place().is_none(), "all are in use");
+    pool.put(ServerId(1), ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
+    let new = pool.permit().expect("the idle one's place");
+    assert_eq!(pool.idle(), 0);
+    assert!(pool.permit().is_none(), "all are in use");
     drop((busy, new));
-    assert!(links.place().is_some());
+    assert!(pool.permit().is_some());
 }
 
 fn target(k: u32, lifecycle: Lifecycle) -> Target {
@@ -106,7 +106,7 @@
 #[test]
 fn ten_thousand_servers_seen_once_leave_nothing_behind() {
     let site = frostgauge_platform::settings::read(&settings()).expect("good settings");
-    let mut table = Table::default();
+    let mut table = ServerTable::default();
     for k in 0..10_000_u32 {
         let gone = k.checked_sub(10).map(|k| target(k, Lifecycle::Removed));
         let changes: Vec<Target> = std::iter::once(target(k, Lifecycle::Up)).chain(gone).collect();
@@ -130,7 +130,7 @@
 #[test]
 fn a_server_that_started_anew_or_moved_keeps_no_connection() {
     let site = frostgauge_platform::settings::read(&settings()).expect("good settings");
-    let (mut table, one) = (Table::default(), target(1, Lifecycle::Up));
+    let (mut table, one) = (ServerTable::default(), target(1, Lifecycle::Up));
     assert!(table.listed(&site, ListKind::Full, std::slice::from_ref(&one)).is_empty());
     assert!(table.listed(&site, ListKind::Full, std::slice::from_ref(&one)).is_empty());
     let anew = Target { started_ms: 7, ..one.clone() };
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -44,30 +44,30 @@
 
 /// Why a request is turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bad {
+pub struct Rejection {
     /// The status to answer with.
     pub status: u16,
     /// What is wrong.
     pub reason: &'static str,
 }
 
-const fn bad(reason: &'static str) -> Bad {
-    Bad { status: 400, reason }
+const fn bad(reason: &'static str) -> Rejection {
+    Rejection { status: 400, reason }
 }
 
 /// Reads a head, of content with or without bytes.
 ///
 /// # Errors
 /// What is missing, repeated, out of range or no number.
-pub fn read(site: &Site, head: &Head, has_content: bool) -> Result<Request, Bad> {
+pub fn read(site: &Site, head: &Head, has_content: bool) -> Result<Request, Rejection> {
     let path = head.target().split('?').next().unwrap_or("");
     let first = path.strip_prefix('/').and_then(|p| p.split('/').next()).unwrap_or("");
     let class = site.classes.iter().position(|c| c == first);
-    let class = class.ok_or(Bad { status: 404, reason: "no such class" })?;
+    let class = class.ok_or(Rejection { status: 404, reason: "no such class" })?;
     // The class fixes the method: a safe one comes as GET without content, any other as POST.
     let safe = matches!(site.settings.classes.get(class).map(|c| c.effect), Some(Effect::Safe));
     if head.method() != if safe { "GET" } else { "POST" } {
-        return Err(Bad { status: 405, reason: "not this class's method" });
+        return Err(Rejection { status: 405, reason: "not this class's method" });
     }
     if safe && has_content {
         return Err(bad("a GET with content"));
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -31,7 +31,7 @@
     fn flag(&self, key: &str) -> bool {
         self.0.get(key).and_then(Value::as_bool).unwrap_or(false)
     }
-    fn word(&self, key: &str) -> &'a str {
+    fn status_of(&self, key: &str) -> &'a str {
         self.0.get(key).and_then(Value::as_str).unwrap_or("")
     }
 }
@@ -111,7 +111,7 @@
     let none = Value::Null;
     let prices = root.at("prices").unwrap_or(Reader(&none, String::new()));
     let class = |c: Reader| {
-        let group = match c.word("group") {
+        let group = match c.status_of("group") {
             "zone" => Group::Zone,
             "cell" => Group::Cell,
             _ => Group::All,
@@ -121,7 +121,7 @@
             deadline: c.micros("deadlineUs")?,
             late_worth: c.number("lateWorth")?,
             worth: c.number("value")?,
-            effect: match c.word("semantics") {
+            effect: match c.status_of("semantics") {
                 "retryable" => Effect::Safe,
                 "dedup" => Effect::Keyed { group, window: c.micros("windowUs")? },
                 "fragile" => Effect::Fragile,
@@ -173,12 +173,12 @@
             marks_repeats: root.at("callers").is_ok_and(|c| c.flag("marksRetry")),
             meter: family.micros("meterUs").unwrap_or(0),
             settles: family.flag("truedUp"),
-            reports: match stats.word("how") {
+            reports: match stats.status_of("how") {
                 "answers" => Reports::Answers,
                 "probe" => Reports::Probe,
                 _ => Reports::None,
             },
-            must_ask: root.word("discovery") == "ask",
+            must_ask: root.status_of("discovery") == "ask",
         },
         rules: Rules {
             answer_slack: rules.micros("graceToAnswerUs")?,
