--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -348,3 +348,21 @@
     assert_eq!(gateway.client().say(&request(&same, false)).status(), 200);
     assert!((1..=2).contains(&servers[0].ids().len()));
 }
+
+#[test]
+fn an_answer_after_its_time_out_is_served_to_nobody() {
+    let told = Arc::new(AtomicBool::new(false));
+    let (servers, _discovery, gateway) = stage(vec![when(&told)]);
+    let mut client = gateway.client();
+    let late = id();
+    client.write(&patient(&late, Duration::from_millis(200)));
+    assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
+    assert_eq!(servers[0].ids(), [late]);
+    told.store(true, Ordering::SeqCst);
+    wait("its own answer", || {
+        let next = id();
+        let answer = client.say(&request(&next, true));
+        assert!(matches!(answer.status(), 200 | 503), "{answer:?}");
+        answer.status() == 200 && answer.body == format!("served {next}").into_bytes()
+    });
+}
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -131,6 +131,18 @@
     assert_eq!(host.core.counts().left, 2);
 }
 
+#[test]
+fn a_request_whose_insurer_is_taken_away_while_it_waits_has_its_one_answer() {
+    let mut host = Host::new();
+    let checked = host.call(READ, 1);
+    let mut without = settings();
+    without.insurers.clear();
+    host.core.configure(host.now, &without, &mut Vec::new());
+    host.verdict(1, Some("serra"));
+    assert_eq!(host.answer(checked), Some(Some(Final::UnknownInsurer)));
+    assert!(host.out_of(checked).is_empty(), "nothing is sent on");
+}
+
 #[test]
 fn a_client_that_leaves_as_its_attempt_ends_gets_nothing_more_whichever_is_seen_first() {
     for left_first in [true, false] {
