Connections in the kernel's queue are taken at the end though descriptors are short

It pauses and goes on now, until the queue is empty or the end comes; a test that lowers the process's limit fails without it.

Beside it: which ends prove that an attempt never ran stood in src/choice.rs and again in gateway/src/engine.rs; it is said once now, at Status, and the module has a line less.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -348,6 +349,12 @@
     }
 }
 
+/// An address as the system's tables have it.
+fn hex(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("an IPv4 address") };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+}
+
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
 pub fn folder() -> PathBuf {
@@ -459,11 +466,31 @@
             .collect()
     }
 
+    /// Clients' connections that it has accepted.
+    pub fn standing_connections(&self) -> usize {
+        let own = self.sockets();
+        let here = hex(self.address);
+        let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+        // This side in the second column, the state in the fourth (01: it stands), the inode in the tenth.
+        rows.filter(|r| r[1] == here && r[3] == "01" && own.iter().any(|i| i == r[9])).count()
+    }
+
+    /// From here on it opens nothing before something of its own is closed.
+    pub fn may_open_no_more(&self) {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
+        let open: BTreeSet<u64> = files.filter_map(|f| f.ok()?.file_name().to_str()?.parse().ok()).collect();
+        // What is opened gets the least number that is free, which is one too many now.
+        let most = (0..).find(|number| !open.contains(number)).expect("some are free");
+        let limit = rustix::process::Rlimit { current: Some(most), maximum: Some(most) };
+        let pid = Pid::from_child(&self.child);
+        rustix::process::prlimit(Some(pid), rustix::process::Resource::Nofile, limit).expect("set");
+    }
+
     /// Its connections to a loopback address that do not stand yet.
     pub fn connecting(&self, to: SocketAddr) -> usize {
         let own = self.sockets();
-        let SocketAddr::V4(to) = to else { panic!("an IPv4 address") };
-        let to = format!("{:08X}:{:04X}", u32::from_le_bytes(to.ip().octets()), to.port());
+        let to = hex(to);
         let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
         let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
         // The other side in the third column, the state in the fourth (02: not answered yet), the inode in the tenth.
--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -197,8 +197,8 @@
     assert!(gateway.ended().success());
 }
 
-#[test]
-fn a_request_in_the_kernels_queue_is_answered_when_the_process_closes() {
+/// A request waits in the kernel's queue, behind half requests that hold all permits, as the process closes.
+fn queued(meanwhile: impl Fn(&Gateway)) {
     // Of 256 descriptors so many are for clients.
     const CLIENTS: usize = 116;
     let (servers, _discovery, mut gateway) = stage(vec![serve()]);
@@ -208,8 +208,10 @@
         let bytes = request(&id(), true);
         client.write(&bytes[..bytes.len() - 2]);
     }
+    wait("all permits taken", || gateway.standing_connections() == CLIENTS);
     let mut late = gateway.client();
     late.write(&request(&id(), true));
+    meanwhile(&gateway);
     gateway.signal(Signal::TERM);
     assert_eq!(late.answer().expect("an answer").status(), 503);
     for client in &mut half {
@@ -220,6 +222,16 @@
     assert!(servers[0].ids().is_empty());
 }
 
+#[test]
+fn a_request_in_the_kernels_queue_is_answered_when_the_process_closes() {
+    queued(|_| {});
+}
+
+#[test]
+fn a_request_in_the_kernels_queue_is_answered_though_descriptors_are_short() {
+    queued(Gateway::may_open_no_more);
+}
+
 #[test]
 fn what_is_sent_behind_the_last_answer_is_left_unread() {
     let told = Arc::new(AtomicBool::new(false));
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -348,7 +348,7 @@
         self.outside.over(run.server);
         let Ended { status, response, used, load } = ended;
         let took = now.saturating_sub(run.sent);
-        if let Some(open) = self.calls.get_mut(&ticket).filter(|_| may_have_run(status)) {
+        if let Some(open) = self.calls.get_mut(&ticket).filter(|_| status.may_have_run()) {
             open.ran.get_or_insert(run.sent);
         }
         let input = Input::AttemptEnded { ticket, attempt, server: run.server, status, took, used, load };
@@ -420,11 +420,6 @@
     }
 }
 
-/// Whether an attempt that ended so may have run.
-fn may_have_run(status: Status) -> bool {
-    !matches!(status, Status::Full | Status::ConnectFailed | Status::Broken | Status::Moot)
-}
-
 fn kind(answer: &Final) -> &'static str {
     match answer {
         Final::Denied(_) | Final::UnknownInsurer | Final::NotAllowed => "denied",
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -17,7 +17,7 @@
 use futures_lite::StreamExt;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -180,12 +180,31 @@
             }
         }
     }
-    // What stands in the kernel's queue may have been written to already. Guards against requests that were taken for
-    // this process while all permits were, and would be reset with the listener.
-    while let Ok((stream, _)) = listener.get_ref().accept() {
-        let Ok(stream) = Async::new(stream) else { continue };
-        let _ = stream.get_ref().set_nodelay(true);
-        let permit = handle.shared.permits.take().await;
-        tasks.spawn(front::serve(stream, permit, handle.clone(), closing.clone())).detach();
+    take_queued(&listener, &handle, &closing, &tasks).await;
+}
+
+/// Takes what stands in the kernel's queue, which may have been written to already. Guards against requests that were
+/// taken for this process while all permits were, and would be reset with the listener.
+async fn take_queued(
+    listener: &Async<TcpListener>,
+    handle: &Handle,
+    closing: &Closing,
+    tasks: &Executor<'static>,
+) {
+    loop {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => {
+                let Ok(stream) = Async::new(stream) else { continue };
+                let _ = stream.get_ref().set_nodelay(true);
+                let permit = handle.shared.permits.take().await;
+                tasks.spawn(front::serve(stream, permit, handle.clone(), closing.clone())).detach();
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            // Connections that end give their descriptors back.
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept");
+                Timer::after(LOOK).await;
+            }
+        }
     }
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -23,6 +23,7 @@
 
 /// Bounds on a request: content as the protocol has it, heads with room to spare.
 const REQUEST: Limits = Limits { line: 8 << 10, fields: 64, head: 16 << 10, body: 64 << 10 };
+
 /// Why a connection ends.
 enum End {
     /// The client left, or there is nothing to say.
--- a/src/api.rs
+++ b/src/api.rs
@@ -255,6 +255,13 @@
     Moot,
 }
 
+impl Status {
+    /// Whether a request whose attempt ended so may have run.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Status::Full | Status::ConnectFailed | Status::Broken | Status::Moot)
+    }
+}
+
 /// A server's report of its load; what it does not tell is `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -739,8 +739,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| a.open) else { return };
         a.open = false;
-        let unseen = [Status::Full, Status::ConnectFailed, Status::Broken, Status::Moot];
-        a.may_have_run = !unseen.contains(&status);
+        a.may_have_run = status.may_have_run();
         let (server, held, aim, sent) = (a.server, a.held, self.settings.classes[r.class].aim, a.sent);
         let (done, kind, late, aim) = (r.done, (r.class, r.plan), took >= aim, seconds(aim));
         self.tally(now);
