--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -225,6 +225,11 @@
         let mut told = self.told.0.lock().expect("unpoisoned");
         told.generation += 1;
         let generation = told.generation;
+        // The whole list tells of it too.
+        let mut list = told.list.as_array().cloned().unwrap_or_default();
+        list.retain(|old| entries.iter().all(|new| new["instanceId"] != old["instanceId"]));
+        list.extend(entries.iter().filter(|new| new["lifecycle"] != "removed").cloned());
+        told.list = Value::Array(list);
         told.changes.push((generation, Value::Array(entries)));
         self.told.1.notify_all();
     }
--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -306,6 +306,8 @@
     report.write(&request(&id(), true));
     wait("both out", || servers[0].ids().len() == 2);
     gateway.signal(Signal::TERM);
+    // Two signals that wait together count as one.
+    wait("closing", || gateway.log().contains("closing"));
     gateway.signal(Signal::TERM);
     assert_eq!(read.answer().expect("an answer").status(), 503, "trying again does no harm");
     assert_eq!(report.answer().expect("an answer").status(), 502, "it may have run");
