Review, case 2: a keyed request is repeated in another room

Cause: the place of the attempt that may have run is looked up in the list of servers, which no longer has a server that was removed meanwhile; no place counts as any place. Added: the case with its test.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 
 mod endless;
+mod keyed;
 mod kit;
 mod settings;
 
@@ -14,6 +15,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     kit::watch_over(105);
     let code = match case.as_str() {
+        "keyed" => keyed::run(&folder, &root, trouble),
         "endless" => endless::run(&folder, &root, trouble),
         _ => kit::abort("no such case"),
     };
