Review, case 3: discovery that takes half a second is never heard again

Cause: a call of discovery has 400 ms beyond its wait, always; an answer later than that is dropped each time. Added: the case with its test.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod keyed;
 mod kit;
 mod settings;
+mod slow;
 
 use std::path::PathBuf;
 
@@ -17,6 +18,7 @@
     let code = match case.as_str() {
         "keyed" => keyed::run(&folder, &root, trouble),
         "endless" => endless::run(&folder, &root, trouble),
+        "slow" => slow::run(&folder, &root, trouble),
         _ => kit::abort("no such case"),
     };
     std::process::exit(code);
