--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,8 +2,10 @@
 //! Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 
 mod endless;
+mod halves;
 mod keyed;
 mod kit;
+mod leaves;
 mod settings;
 mod slow;
 
@@ -18,6 +20,8 @@
     let code = match case.as_str() {
         "keyed" => keyed::run(&folder, &root, trouble),
         "endless" => endless::run(&folder, &root, trouble),
+        "halves" => halves::run(&folder, &root, trouble),
+        "leaves" => leaves::run(&folder, &root, trouble),
         "slow" => slow::run(&folder, &root, trouble),
         _ => kit::abort("no such case"),
     };
