Review: stand-ins on an address of each run's own, and how a gateway ended

Cause: in 1 of 38 runs of case 1 a gateway had ended by itself when the run ended, and nothing told why; runs beside each other could have met on a port. Added: a loopback address for each run; exit status and last lines of such a gateway in the record.

--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -198,7 +198,7 @@
         record: &Arc<Record>,
         handler: Handler,
     ) -> Arc<Server> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a server's port");
+        let listener = TcpListener::bind((host(), 0)).expect("a server's port");
         let address = listener.local_addr().expect("address");
         let server = Arc::new(Server {
             id: id.to_owned(),
@@ -276,7 +276,7 @@
 
 impl Discovery {
     pub fn start(entries: Vec<String>, record: Arc<Record>) -> Arc<Discovery> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("discovery's port");
+        let listener = TcpListener::bind((host(), 0)).expect("discovery's port");
         let discovery = Arc::new(Discovery {
             address: listener.local_addr().expect("address"),
             list: Mutex::new((41, entries)),
@@ -374,8 +374,14 @@
     });
 }
 
+/// A loopback address of this process's own, so that cases that run beside each other share no port.
+pub fn host() -> Ipv4Addr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + a % 64, b, 1 + c % 254)
+}
+
 pub fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    TcpListener::bind((host(), 0)).and_then(|l| l.local_addr()).expect("a free port")
 }
 
 pub fn run_command(root: &Path) -> String {
@@ -394,7 +400,7 @@
     settings: impl Fn(usize) -> String,
 ) -> Vec<Gateway> {
     let udp: Vec<UdpSocket> =
-        (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
+        (0..count).map(|_| UdpSocket::bind((host(), 0)).expect("a free port")).collect();
     let peers: Vec<String> =
         udp.iter().map(|s| format!("\"{}\"", s.local_addr().expect("address"))).collect();
     drop(udp);
@@ -619,7 +625,13 @@
 pub fn finish(record: &Record, mut gateways: Vec<Gateway>, folder: &Path, broken: &[String]) -> i32 {
     let mut crashed = 0;
     for (k, gateway) in gateways.iter_mut().enumerate() {
-        crashed += usize::from(!gateway.running());
+        if let Ok(Some(status)) = gateway.child.try_wait() {
+            crashed += 1;
+            let log = std::fs::read_to_string(folder.join(format!("n{k}.log"))).unwrap_or_default();
+            let from = log.lines().count().saturating_sub(5);
+            let last: Vec<&str> = log.lines().skip(from).collect();
+            record.say(format!("gateway {k} ended by itself, {status}; its last lines: {last:#?}"));
+        }
         let ended = gateway.end();
         record.line(format!("gateway {k} ended within 6 s of SIGTERM: {ended}"));
     }
