Bound interim responses, and let reads that never wait yield

Cause: `receive` (crates/net/src/exchange.rs) skipped interim responses without a bound, and no loop of reads returned to the executor while its peer had bytes: a read of bytes that are there completes at once, and `until` looks at its timer only when the work waits. The gateway on the platform has one thread. Change: interim responses together may be as long as one head. `until` polls its work once a turn, so that a yield reaches the executor; a result at hand behind it is not late.

--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -49,6 +49,13 @@
                 fine
             }),
         ),
+        (
+            "interim heads without an end",
+            Box::new(|_, s| {
+                let piece = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(2_000);
+                (0..3 << 14).all(|_| s.write_all(&piece).is_ok())
+            }),
+        ),
         (
             "cut short",
             Box::new(|_, s| {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::clock::{Clock, Micros};
 use crate::oauth::Message;
 use async_io::Async;
+use frostgauge_net::read_budget;
 use frostgauge_proto::peer::{Dropped, Key, Receiver, Sender};
 use frostgauge_settings::Loaded;
 use std::io;
@@ -91,6 +92,8 @@
     pub async fn run(mut self, inbox: async_channel::Sender<Message>) {
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
         loop {
+            // Datagrams that are dropped come without a bound.
+            read_budget().await;
             let length = match self.socket.recv_from(&mut buffer).await {
                 Ok((length, _)) => length,
                 // ICMP reports that a peer's port is closed arrive as errors here; this socket still works.
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::Pool;
 use crate::{exhausted, read_some, until, Timed};
 use async_io::Async;
-use frostgauge_proto::http::{BodyReader, Framing, Head, HeadReader, Limits};
+use frostgauge_proto::http::{BodyReader, Framing, Head, HeadReader, HttpError, Limits};
 use futures_lite::AsyncWriteExt;
 use std::borrow::Cow;
 use std::io;
@@ -197,28 +197,10 @@
     limits: &Limits,
     whole: Option<Duration>,
 ) -> io::Result<(Response, bool)> {
-    let bad = |e| io::Error::new(io::ErrorKind::InvalidData, e);
     let mut buf = Vec::new();
     // When the response being read began.
     let mut begun = None;
-    let head = loop {
-        let mut reader = HeadReader::default();
-        let end = loop {
-            if let Some(end) = reader.push(&buf, limits).map_err(bad)? {
-                break end;
-            }
-            if piece(stream, &mut buf, &mut begun, whole).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        };
-        let head = Head::response(&buf[..end]).map_err(bad)?;
-        buf.drain(..end);
-        // Interim responses come before the final one (RFC 9110 section 15.2); 101 is never asked for.
-        if head.status() >= 200 {
-            break head;
-        }
-        begun = (!buf.is_empty()).then(Instant::now);
-    };
+    let head = final_head(stream, limits, whole, &mut buf, &mut begun).await?;
     let framing = head.response_framing(to_head).map_err(bad)?;
     let mut reader = BodyReader::new(framing, limits).map_err(bad)?;
     let mut body = Vec::new();
@@ -242,6 +224,44 @@
     Ok((Response { head, body }, keep))
 }
 
+fn bad(error: HttpError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
+
+/// Reads heads up to the final one. Interim responses come before it (RFC 9110 section 15.2) in any number; together
+/// they may be as long as one head.
+async fn final_head(
+    stream: &Async<TcpStream>,
+    limits: &Limits,
+    whole: Option<Duration>,
+    buf: &mut Vec<u8>,
+    begun: &mut Option<Instant>,
+) -> io::Result<Head> {
+    let mut interim_bytes = 0;
+    loop {
+        let mut reader = HeadReader::default();
+        let end = loop {
+            if let Some(end) = reader.push(buf, limits).map_err(bad)? {
+                break end;
+            }
+            if piece(stream, buf, begun, whole).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        };
+        let head = Head::response(&buf[..end]).map_err(bad)?;
+        buf.drain(..end);
+        // 101 is never asked for.
+        if head.status() >= 200 {
+            return Ok(head);
+        }
+        interim_bytes += end;
+        if interim_bytes > limits.head {
+            return Err(bad(HttpError::HeadTooLarge));
+        }
+        *begun = (!buf.is_empty()).then(Instant::now);
+    }
+}
+
 /// Reads once, within the time for a response that has begun.
 async fn piece(
     mut stream: &Async<TcpStream>,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,12 +2,14 @@
 //! its response on one. The gateway, the stand-ins and the command line share it; it decides nothing.
 
 mod accept;
+mod cooperation;
 mod exchange;
 mod pool;
 mod staff;
 mod stream;
 
 pub use accept::{accept, listen, or_closing, Closing, Hold, Place, Places};
+pub use cooperation::read_budget;
 pub use exchange::{exchange, exchange_by, receive, talk, End, NoLink, Plain, Pooled, Response, Way};
 pub use pool::{stands, Pool};
 pub use staff::{ask, ask_with, pages, Page, Question};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,10 +1,12 @@
 //! Streams: what a front or an upstream needs of a connection, TCP today.
 
+use crate::cooperation::{poll_read_budget, reset_read_budget};
 use async_io::Timer;
-use futures_lite::AsyncRead;
+use futures_lite::{ready, AsyncRead};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
+use std::task::Poll;
 use std::time::Instant;
 
 /// The outcome of something with a time limit.
@@ -16,32 +18,44 @@
     Late,
 }
 
-/// Runs a future until a moment.
+/// Runs a future until a moment. One that has only yielded by then is polled once more: its result may be at hand.
 pub async fn until<T>(at: Instant, work: impl Future<Output = T>) -> Timed<T> {
     let mut work = pin!(work);
-    // A timer costs a turn of the reactor's lock: only what has to wait gets one.
-    if let Some(done) = futures_lite::future::poll_once(&mut work).await {
-        return Timed::Done(done);
-    }
-    let late = async {
-        Timer::at(at).await;
-        Timed::Late
-    };
-    futures_lite::future::or(async { Timed::Done(work.await) }, late).await
+    let mut timer: Option<Timer> = None;
+    poll_fn(|context| {
+        if let Poll::Ready(done) = work.as_mut().poll(context) {
+            return Poll::Ready(Timed::Done(done));
+        }
+        // A timer costs a turn of the reactor's lock: only what has to wait gets one.
+        let is_first_poll = timer.is_none();
+        let timer = timer.get_or_insert_with(|| Timer::at(at));
+        if is_first_poll && Instant::now() >= at {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Pin::new(timer).poll(context).map(|_| Timed::Late)
+    })
+    .await
 }
 
 /// Bytes of one read.
 const READ: usize = 16 << 10;
 
 /// Reads once and appends what came; 0 at the end of the stream. The piece read into lives on the stack of
-/// one poll, so that a connection that waits holds no buffer.
+/// one poll, so that a connection that waits holds no buffer. A task that reads on and on without waiting yields from
+/// time to time.
 ///
 /// # Errors
 /// Those of the stream.
 pub async fn read_some(stream: &mut (impl AsyncRead + Unpin), buf: &mut Vec<u8>) -> io::Result<usize> {
-    poll_fn(|cx| {
+    poll_fn(|context| {
+        ready!(poll_read_budget(context));
         let mut piece = [0; READ];
-        Pin::new(&mut *stream).poll_read(cx, &mut piece).map_ok(|n| {
+        let read = Pin::new(&mut *stream).poll_read(context, &mut piece);
+        if read.is_pending() {
+            reset_read_budget();
+        }
+        read.map_ok(|n| {
             buf.extend_from_slice(&piece[..n]);
             n
         })
--- a/crates/platform-gateway/src/front/mod.rs
+++ b/crates/platform-gateway/src/front/mod.rs
@@ -16,7 +16,7 @@
 use frostgauge_resource_policy::timeouts::{
     LINGER_TIME, MAX_LINGER_BYTES, SHUTDOWN_ACCEPT_TIME, WRITE_TIMEOUT,
 };
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use futures_lite::AsyncWriteExt;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering;
@@ -66,6 +66,8 @@
     };
     loop {
         match connection.one().await {
+            // A client may send readiness checks as fast as they are answered, without a wait in between.
+            Ok(true) if !connection.buf.is_empty() => yield_now().await,
             Ok(true) => {}
             Ok(false) => return connection.close_unread().await,
             Err(End::Close) => return,
--- a/crates/platform-gateway/src/peers.rs
+++ b/crates/platform-gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use frostgauge_gateway::engine::{Host, Message};
+use frostgauge_net::read_budget;
 use frostgauge_resource_policy::timeouts::DATAGRAM_ERROR_PAUSE;
 use std::collections::BTreeMap;
 use std::io;
@@ -28,6 +29,14 @@
         Ok(Peers { socket: Arc::new(Async::<UdpSocket>::bind(listen)?), addresses })
     }
 
+    /// The address of the socket.
+    ///
+    /// # Errors
+    /// The system does not return it.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.get_ref().local_addr()
+    }
+
     /// Sends a message; one that the socket does not accept at once is lost, as any may be.
     pub fn send(&self, to: usize, message: &[u8]) {
         if let Some(address) = self.addresses.get(to).filter(|_| message.len() <= MAX_DATAGRAM_BYTES) {
@@ -55,6 +64,8 @@
         // One byte more than a datagram may have, to recognize a longer one.
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
+            // Datagrams of strangers come without a bound.
+            read_budget().await;
             let Ok((n, from)) = self.socket.recv_from(&mut buffer).await else {
                 // A peer's closed port shows up here and says nothing about this socket. The pause keeps a lasting error
                 // from taking the whole core.
