Keep the location of an attempt's server, so that keyed retries stay in their group

Cause: `LoadBalancer::choose` looked the zone and cell of the first attempt that may have run up in the list of servers. A server that was removed and has no attempt in flight is not there, and that was taken for "may go anywhere". Change: an attempt keeps the zone and cell that its server had when it was sent. Why it works: the group no longer depends on what the list holds when the retry is chosen.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -114,8 +114,14 @@
         server.slow_start.spend();
         self.gate.record_send(now, id, server.entry.zone);
         self.admission.record_send(now, id, request.attempts.len() as u32);
-        let attempt = Attempt { server: to, sent_at: now, in_flight: true, may_have_run: false, server_load };
-        request.attempts.push(attempt);
+        request.attempts.push(Attempt {
+            server: to,
+            location: server.location(),
+            sent_at: now,
+            in_flight: true,
+            may_have_run: false,
+            server_load,
+        });
         out.push(Action::Send { id, server: to, timeout: request.deadline - now });
     }
 
--- a/src/load_balancing.rs
+++ b/src/load_balancing.rs
@@ -5,7 +5,7 @@
 use crate::outlier_detection::{Health, OutlierDetector};
 use crate::probing::requests_of_others;
 use crate::random::Random;
-use crate::request::Request;
+use crate::request::{Location, Request};
 use crate::servers::{Server, Servers};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -120,8 +120,8 @@
     outliers: &'a OutlierDetector,
     /// Whether ejected servers are avoided.
     avoids_ejected: bool,
-    /// Zone and cell of the server of the first attempt that may run or may have run.
-    first_run_location: Option<(u32, u32)>,
+    /// Where the first attempt was sent that may run or may have run.
+    first_run_location: Option<Location>,
     /// Service time assumed of a server without recent answers, µs.
     usual_us: f64,
     /// Whether only some of the ready servers are compared.
@@ -163,13 +163,12 @@
         random: &mut Random,
     ) -> Result<Choice, RejectReason> {
         let (candidates, max_compared, is_sample) = self.candidates(now, servers, random);
-        let first_run = criteria.request.first_that_may_run().and_then(|attempt| servers.get(attempt.server));
         let comparison = Comparison {
             now,
             criteria,
             outliers,
             avoids_ejected: outliers.should_avoid_ejected(now, servers),
-            first_run_location: first_run.map(|server| (server.entry.zone, server.entry.cell)),
+            first_run_location: criteria.request.first_that_may_run().map(|attempt| attempt.location),
             usual_us: self.usual_service_time_us().min(criteria.max_usual_us),
             is_sample,
         };
@@ -302,9 +301,9 @@
 
     /// Whether the server may be sent the attempt at all.
     fn is_eligible(&self, server: &Server, limits: &BackendLimits) -> bool {
-        let shares_keys = self.first_run_location.is_none_or(|(zone, cell)| match self.criteria.effect {
-            Effect::Deduplicated { scope: DedupScope::Zone, .. } => server.entry.zone == zone,
-            Effect::Deduplicated { scope: DedupScope::Cell, .. } => server.entry.cell == cell,
+        let shares_keys = self.first_run_location.is_none_or(|first_run| match self.criteria.effect {
+            Effect::Deduplicated { scope: DedupScope::Zone, .. } => server.entry.zone == first_run.zone,
+            Effect::Deduplicated { scope: DedupScope::Cell, .. } => server.entry.cell == first_run.cell,
             _ => true,
         });
         let slow_start = &server.slow_start;
--- a/src/request.rs
+++ b/src/request.rs
@@ -14,9 +14,18 @@
     pub is_retry: bool,
 }
 
+/// Where a server is. The servers of one zone or cell may share the keys of the requests that they deduplicate.
+#[derive(Clone, Copy)]
+pub(crate) struct Location {
+    pub zone: u32,
+    pub cell: u32,
+}
+
 /// One attempt of a request.
 pub(crate) struct Attempt {
     pub server: ServerId,
+    /// Where the server was when the attempt was sent; the server may be removed before the request ends.
+    pub location: Location,
     pub sent_at: Micros,
     pub in_flight: bool,
     /// Whether the attempt ended with a status after which the request may have run.
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -4,6 +4,7 @@
 use crate::load_balancing::ServerLoad;
 use crate::outlier_detection::Health;
 use crate::random::Random;
+use crate::request::Location;
 use crate::slow_start::SlowStart;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,6 +17,13 @@
     pub slow_start: SlowStart,
 }
 
+impl Server {
+    /// Where the server is.
+    pub fn location(&self) -> Location {
+        Location { zone: self.entry.zone, cell: self.entry.cell }
+    }
+}
+
 /// All servers in the list, and those removed from it with attempts of this gateway in flight.
 #[derive(Default)]
 pub(crate) struct Servers {
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -63,6 +63,37 @@
     assert_eq!(retried_on.0 % 2, server.0 % 2, "the retry stays in the zone");
 }
 
+/// Guards against a retry in another group once the server that may have run the request has left the list.
+#[test]
+fn deduplicated_request_stays_in_its_group_when_its_first_server_is_removed() {
+    for scope in [DedupScope::Zone, DedupScope::Cell] {
+        for kind in [ListKind::Full, ListKind::Delta] {
+            let (mut driver, id, first) =
+                send_first_attempt(Effect::Deduplicated { scope, window: 500 * MS });
+            let second = sent_to(&driver.end_attempt(id, 0, first, Status::Reset)).expect("retried");
+            driver.handle(Event::Servers { kind, entries: list_without(&[first], kind) });
+            let third = sent_to(&driver.end_attempt(id, 1, second, Status::Reset));
+            let third = third.expect("the second server is left");
+            assert_eq!(third.0 % 2, first.0 % 2, "{scope:?}, {kind:?}: the retry stays in the group");
+            driver.handle(Event::Servers { kind, entries: list_without(&[first, second], kind) });
+            let actions = driver.end_attempt(id, 2, third, Status::Reset);
+            assert!(is_failed(&actions), "{scope:?}, {kind:?}: no server of the group is left: {actions:?}");
+        }
+    }
+}
+
+/// The list of [`send_first_attempt`] without these servers, whole or as a change.
+fn list_without(removed: &[ServerId], kind: ListKind) -> Vec<ServerEntry> {
+    let all = (1..=4).map(|k| entry(k, (1 - k % 2) as u32));
+    let is_removed = |entry: &ServerEntry| removed.contains(&entry.server);
+    match kind {
+        ListKind::Delta => {
+            all.filter(is_removed).map(|entry| ServerEntry { state: ServerState::Removed, ..entry }).collect()
+        }
+        _ => all.filter(|entry| !is_removed(entry)).collect(),
+    }
+}
+
 #[test]
 fn deduplicated_request_is_not_retried_after_its_window() {
     let (mut driver, id, server) = send_first_attempt(DEDUPLICATED_BY_ZONE);
--- a/tests/legal_orders.rs
+++ b/tests/legal_orders.rs
@@ -50,6 +50,18 @@
     ]
 }
 
+/// Steps by which deduplicated requests are retried while their servers are removed and listed again.
+fn step_of_retries_and_removals() -> impl Strategy<Value = Step> {
+    let state = prop::sample::select(vec![ServerState::Ready, ServerState::Removed]);
+    prop_oneof![
+        1 => (50u64..150).prop_map(Step::Wait),
+        2 => (0u64..50).prop_map(|customer| Step::Request { class: 2, customer, timeout_ms: 2000 }),
+        4 => any::<prop::sample::Index>()
+            .prop_map(|index| Step::EndAttempt { selector: index.index(1 << 16), status: Status::Reset }),
+        3 => (1u64..7, state).prop_map(|(server, state)| Step::UpdateServer { server, state }),
+    ]
+}
+
 /// Statuses that show that an attempt did not run.
 const NOT_RUN: [Status; 3] = [Status::Rejected, Status::ConnectFailed, Status::NotSent];
 
@@ -269,12 +281,12 @@
     }
 }
 
-#[test]
-fn any_valid_order_of_events_keeps_the_invariants() {
+/// Runs generated sequences of these steps.
+fn check_invariants(step: impl Strategy<Value = Step>) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[29; 32]);
     let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let steps = prop::collection::vec(step(), 1..250);
+    let steps = prop::collection::vec(step, 1..250);
     runner
         .run(&steps, |steps| {
             run(steps);
@@ -282,3 +294,14 @@
         })
         .expect("every order of events keeps the invariants");
 }
+
+#[test]
+fn any_valid_order_of_events_keeps_the_invariants() {
+    check_invariants(step());
+}
+
+/// Guards against a retry in another group after the server of the first attempt has left the list.
+#[test]
+fn retries_of_deduplicated_requests_while_servers_are_removed_keep_the_invariants() {
+    check_invariants(step_of_retries_and_removals());
+}
