Keep idle connections by server and address, not by the server's id alone

Callers would see requests at a server that the list no longer names: one that is removed or moved while a request to it is in flight, and is listed again at another address, got all further requests at the old one. Cause: the pool kept connections by the server's id; `forget` closes the idle ones, but the one in use came back later. Evidence: the new test fails before: 11 requests at the old server and none at the new one, wanted 1 and 10. Change: the key of an idle connection is the server's id with its address. Measured: tests of frostgauged's servers (16) and of platform-gateway pass.

--- a/crates/frostgauged/tests/servers.rs
+++ b/crates/frostgauged/tests/servers.rs
@@ -241,6 +241,30 @@
     wait("the new one serves", || client.say(&request(&id(), true)).status() == 200);
 }
 
+/// Guards against requests to a server's old address, on a connection that was in use when the list moved the server.
+#[test]
+fn a_server_listed_anew_at_another_address_gets_nothing_at_the_old_one() {
+    let answers = Arc::new(AtomicUsize::new(0));
+    let may_answer = answers.clone();
+    let old = Server::start(Box::new(move |request, stream| {
+        wait("the move", || may_answer.load(Ordering::SeqCst) > 0);
+        stream.write_all(&good(request)).is_ok()
+    }));
+    let new = Server::start(serve());
+    let discovery = Discovery::start(vec![old.entry("s-0", "up")]);
+    let gateway = Gateway::start(&discovery);
+    let (mut early, one) = (gateway.client(), id());
+    early.write(&request(&one, true));
+    wait("the request in flight", || old.ids().len() == 1);
+    discovery.change(vec![old.entry("s-0", "removed")]);
+    discovery.change(vec![new.entry("s-0", "up")]);
+    wait("a watch from the new version", || discovery.asked().iter().any(|a| a.contains("from=3")));
+    answers.store(1, Ordering::SeqCst);
+    assert_eq!(early.answer().expect("an answer").body, format!("served {one}").into_bytes());
+    let ids = gateway.client().served(10);
+    assert_eq!((old.ids().len(), new.ids()), (1, ids));
+}
+
 #[test]
 fn discovery_that_makes_no_sense_or_falls_silent_leaves_the_list_as_it_was() {
     let (servers, discovery, gateway) = stage(vec![serve(), serve()]);
--- a/crates/platform-gateway/src/pool.rs
+++ b/crates/platform-gateway/src/pool.rs
@@ -1,12 +1,13 @@
-//! Pool of connections to servers: idle ones are kept for a while, the total is bounded. They belong to a server rather
-//! than an address, since a new server may have the address of an old one.
+//! Pool of connections to servers: idle ones are kept for a while, the total is bounded. They belong to a server at an
+//! address: a new server may have the address of an old one, and a server may be listed anew at another address while a
+//! request on a connection to the old one is in flight.
 
 use crate::semaphore::{Semaphore, SemaphorePermit};
 use async_io::Async;
 use frostgauge::ServerId;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -20,10 +21,16 @@
     pub trip: Duration,
 }
 
+/// A server and its address.
+pub type Destination = (ServerId, SocketAddr);
+
+/// Idle connections, each with the time since which it is idle.
+type IdleConnections = BTreeMap<Destination, Vec<(PooledConnection, Instant)>>;
+
 /// Idle connections, and permits for all.
 #[derive(Debug)]
 pub struct ConnectionPool {
-    idle: Mutex<BTreeMap<ServerId, Vec<(PooledConnection, Instant)>>>,
+    idle: Mutex<IdleConnections>,
     permits: Semaphore,
     max_idle_time: Duration,
 }
@@ -41,15 +48,15 @@
         ConnectionPool { idle: Mutex::default(), permits: Semaphore::new(max_connections), max_idle_time }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServerId, Vec<(PooledConnection, Instant)>>> {
+    fn lock(&self) -> MutexGuard<'_, IdleConnections> {
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Takes the idle connection used last. One that was closed or has received anything is discarded: a second answer
     /// would be taken for that to the next request.
-    pub fn take(&self, server: ServerId) -> Option<PooledConnection> {
+    pub fn take(&self, destination: Destination) -> Option<PooledConnection> {
         let mut idle = self.lock();
-        let list = idle.get_mut(&server)?;
+        let list = idle.get_mut(&destination)?;
         while let Some((connection, since)) = list.pop() {
             if since.elapsed() < self.max_idle_time && connection.quiet() {
                 return Some(connection);
@@ -59,8 +66,8 @@
     }
 
     /// Returns a connection that may be used again.
-    pub fn put(&self, server: ServerId, connection: PooledConnection) {
-        self.lock().entry(server).or_default().push((connection, Instant::now()));
+    pub fn put(&self, destination: Destination, connection: PooledConnection) {
+        self.lock().entry(destination).or_default().push((connection, Instant::now()));
     }
 
     /// A permit for a new connection; where there is none, the connection idle longest is closed.
@@ -69,7 +76,8 @@
             return Some(permit);
         }
         let mut idle = self.lock();
-        let oldest = idle.iter().filter_map(|(server, list)| Some((list.first()?.1, *server))).min()?;
+        let oldest =
+            idle.iter().filter_map(|(destination, list)| Some((list.first()?.1, *destination))).min()?;
         if let Some(list) = idle.get_mut(&oldest.1) {
             drop(list.remove(0));
         }
@@ -92,7 +100,7 @@
 
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: ServerId) {
-        self.lock().remove(&server);
+        self.lock().retain(|(of, _), _| *of != server);
     }
 
     /// Number of idle connections.
--- a/crates/platform-gateway/src/upstream.rs
+++ b/crates/platform-gateway/src/upstream.rs
@@ -1,8 +1,8 @@
 //! Attempts at servers and probes of them, and what their ends prove.
 
-use crate::pool::{ConnectionPool, PooledConnection};
+use crate::pool::{ConnectionPool, Destination, PooledConnection};
 use async_io::Timer;
-use frostgauge::{Load, ServerId, Status};
+use frostgauge::{Load, Status};
 use frostgauge_gateway::upstream::AttemptOutcome;
 use frostgauge_net::{exhausted, receive, until, Response, Timed};
 use frostgauge_platform_protocol::{answer, request, settings::PlatformSettings};
@@ -88,15 +88,15 @@
 pub async fn attempt(
     pool: &ConnectionPool,
     site: &PlatformSettings,
-    target: (ServerId, SocketAddr),
+    destination: Destination,
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
     gone: impl Future<Output = ()>,
 ) -> AttemptOutcome {
-    match exchange(pool, target, request, times, gone).await {
+    match exchange(pool, destination, request, times, gone).await {
         Ok((response, connection)) => {
             if let Some(connection) = connection {
-                pool.put(target.0, connection);
+                pool.put(destination, connection);
             }
             ended(site, response)
         }
@@ -115,7 +115,7 @@
 
 async fn exchange(
     pool: &ConnectionPool,
-    target: (ServerId, SocketAddr),
+    destination: Destination,
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
     gone: impl Future<Output = ()>,
@@ -125,14 +125,14 @@
         gone.await;
         Err(Status::NotSent)
     };
-    let connection = or(gone, send(pool, target, request, times)).await?;
+    let connection = or(gone, send(pool, destination, request, times)).await?;
     answered(connection, times).await
 }
 
 /// Writes a whole request on a kept connection or a new one, and returns the connection.
 async fn send(
     pool: &ConnectionPool,
-    (server, to): (ServerId, SocketAddr),
+    destination: Destination,
     request: impl Fn(Duration) -> Vec<u8>,
     times: Times,
 ) -> Result<PooledConnection, Status> {
@@ -140,14 +140,14 @@
     if times.is_late() {
         return Err(Status::NotSent);
     }
-    if let Some(connection) = pool.take(server) {
+    if let Some(connection) = pool.take(destination) {
         match write(&connection, &request, times).await {
             // The server had closed the kept connection, or something was received on it. The request has not run.
             Err(Status::WriteFailed) => {}
             end => return end.map(|()| connection),
         }
     }
-    let connection = connect(pool, to, times).await?;
+    let connection = connect(pool, destination.1, times).await?;
     write(&connection, &request, times).await.map(|()| connection)
 }
 
@@ -216,16 +216,16 @@
 pub async fn probe(
     pool: &ConnectionPool,
     site: &PlatformSettings,
-    (server, to): (ServerId, SocketAddr),
+    destination: Destination,
     times: Times,
 ) -> AttemptOutcome {
     let reports = !site.columns.is_empty();
     let path = if reports { "/-/load" } else { "/-/healthy" };
     let mut request = Vec::new();
-    let host = to.to_string();
+    let host = destination.1.to_string();
     write_request(&mut request, "GET", path, [("host", host.as_bytes())].into_iter(), Body::None);
     let (response, connection) =
-        match exchange(pool, (server, to), |_| request.clone(), times, pending()).await {
+        match exchange(pool, destination, |_| request.clone(), times, pending()).await {
             Ok(answered) => answered,
             Err(status) => return bare(status),
         };
@@ -235,7 +235,7 @@
     if let Some(connection) =
         connection.filter(|_| report.is_some() || !reports || response.head.status() != 200)
     {
-        pool.put(server, connection);
+        pool.put(destination, connection);
     }
     let mut ended = ended(site, response);
     ended.load = report.or(ended.load);
--- a/crates/platform-gateway/tests/attempts.rs
+++ b/crates/platform-gateway/tests/attempts.rs
@@ -54,7 +54,7 @@
     let pool = ConnectionPool::new(2, PATIENCE);
     let to = listener.local_addr().expect("an address");
     let ours = Async::new(TcpStream::connect(to).expect("connected")).expect("registered");
-    pool.put(SERVER, ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
+    pool.put((SERVER, to), ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
     (pool, accepted(listener))
 }
 
--- a/crates/platform-gateway/tests/bounds.rs
+++ b/crates/platform-gateway/tests/bounds.rs
@@ -54,7 +54,8 @@
 #[test]
 fn a_link_is_used_again_only_while_quiet_open_and_young() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let (server, other) = (ServerId(1), ServerId(2));
+    let address = listener.local_addr().expect("an address");
+    let (server, other) = ((ServerId(1), address), (ServerId(2), address));
     let pool = ConnectionPool::new(2, Duration::from_secs(60));
     let put = |pool: &ConnectionPool, server| {
         let (ours, theirs) = pair(&listener);
@@ -75,7 +76,7 @@
     pool.put(server, connection);
     assert!(pool.take(server).is_none(), "its server closed it");
     let _kept = put(&pool, server);
-    pool.forget(server);
+    pool.forget(server.0);
     assert!(pool.take(server).is_none(), "a new server does not get the old one's");
     let old = ConnectionPool::new(1, Duration::ZERO);
     let _kept = put(&old, server);
@@ -89,7 +90,8 @@
     let pool = ConnectionPool::new(2, Duration::from_secs(60));
     let busy = pool.permit().expect("room");
     let (ours, _theirs) = pair(&listener);
-    pool.put(ServerId(1), ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
+    let server = (ServerId(1), listener.local_addr().expect("an address"));
+    pool.put(server, ConnectionPool::connection(ours, pool.permit().expect("room"), Duration::ZERO));
     let new = pool.permit().expect("the idle one's place");
     assert_eq!(pool.idle(), 0);
     assert!(pool.permit().is_none(), "all are in use");
