Send a poll beside an overdue one, so that late answers of discovery are received

Cause: a poll was given up 0.4 s after its hold with the answer under way on it, and the next had 0.4 s again. Change: an overdue poll stays, and another is sent beside it at once; at most four wait, the oldest current one stays. A poll is given up 6 s after its hold, later after late answers. Answers overtaken by later ones count only if newer. Why it works: a lost answer is noticed as soon as before, and no limit shorter than the rule's 6 s ends a slow one.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -172,6 +172,8 @@
     instead: Vec<Reply>,
     /// Nothing is answered at all.
     silent: bool,
+    /// How late each answer is, beyond the time that its call may wait.
+    delay: Duration,
     asked: Vec<String>,
 }
 
@@ -211,6 +213,11 @@
         self.told.1.notify_all();
     }
 
+    /// Answers each call this late from now on.
+    pub fn answer_late(&self, delay: Duration) {
+        self.told.0.lock().expect("unpoisoned").delay = delay;
+    }
+
     /// The whole list as it is, without these.
     pub fn whole_list_without(&self, gone: &str) -> Vec<u8> {
         let told = self.told.0.lock().expect("unpoisoned");
@@ -281,6 +288,12 @@
     let limit = Duration::from_millis(500);
     guard = told.1.wait_timeout_while(guard, limit, waits).expect("unpoisoned").0;
     guard = told.1.wait_while(guard, |told| told.silent).expect("unpoisoned");
+    if !guard.delay.is_zero() {
+        let delay = guard.delay;
+        drop(guard);
+        std::thread::sleep(delay);
+        guard = told.0.lock().expect("unpoisoned");
+    }
     if !guard.instead.is_empty() {
         return guard.instead.remove(0);
     }
--- a/crates/frostgauged/tests/watches.rs
+++ b/crates/frostgauged/tests/watches.rs
@@ -5,6 +5,7 @@
 use common::*;
 use rustix::process::Signal;
 use serde_json::json;
+use std::time::{Duration, Instant};
 
 /// A gateway before one server, so that whatever is sent goes there, and nothing can be served once it may get nothing.
 fn one_server() -> (Server, Discovery, Gateway) {
@@ -53,6 +54,21 @@
     ));
 }
 
+/// Guards against a draining server that goes on getting requests because each answer of discovery comes late.
+#[test]
+fn a_server_that_drains_while_discovery_answers_late_gets_nothing_new() {
+    let (server, discovery, gateway) = one_server();
+    // More than a call waits here, and what a response may take beyond that.
+    discovery.answer_late(Duration::from_millis(1_500));
+    let calls = discovery.asked().len();
+    wait("late answers", || discovery.asked().len() >= calls + 4);
+    discovery.change(vec![server.entry("s-0", "draining")]);
+    let changed = Instant::now();
+    taken(&discovery, 2);
+    assert!(changed.elapsed() < Duration::from_secs(6), "{:?}", changed.elapsed());
+    gets_nothing(&gateway, &server);
+}
+
 #[test]
 fn a_whole_list_in_pieces_takes_away_what_it_does_not_name() {
     let (server, discovery, gateway) = one_server();
--- a/crates/resource-policy/src/shares.rs
+++ b/crates/resource-policy/src/shares.rs
@@ -1,7 +1,7 @@
 //! Division of file descriptors and memory between client connections and connections to servers.
 
-/// File descriptors for other purposes: standard streams, the reactor, listeners, discovery (two connections while its
-/// address changes), the datagram socket, signals, the configuration file while it is read, and accepted connections
+/// File descriptors for other purposes: standard streams, the reactor, listeners, discovery (up to
+/// [`crate::watch::MAX_POLLS_IN_FLIGHT`] connections while it does not answer in time), the datagram socket, signals, the configuration file while it is read, and accepted connections
 /// that have no permit yet.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Maximum size of a response body, bytes.
--- a/crates/resource-policy/src/watch.rs
+++ b/crates/resource-policy/src/watch.rs
@@ -1,13 +1,24 @@
 //! Polling of discovery for the list of servers: first the full list, then by long polls the changes since the known
 //! version.
+//!
+//! A poll without a response in time is overdue. Its response may be lost, or only slow, and the two cannot be told
+//! apart. So another poll is sent beside it, and both wait: a lost response is noticed soon, and a slow one is still
+//! received. Polls are numbered; those sent since the last response are current, earlier ones are left over.
 
 use frostgauge::{ListKind, Micros};
 
 /// How long discovery may hold a long poll if nothing changes, ms. A lost response looks like a held poll, and the
 /// changes in it must take effect within 2 s after the hold: the time for detecting the loss and polling again.
 pub const LONG_POLL_MS: u64 = 1_000;
-/// Time allowed for the response beyond the hold of a poll, ms; after that the poll counts as failed.
+/// A poll without a response is overdue this long after its hold, ms.
 pub const RESPONSE_SLACK_MS: u64 = 400;
+/// Maximum number of polls in flight.
+pub const MAX_POLLS_IN_FLIGHT: usize = 4;
+/// Minimum and maximum time after its hold until a poll is given up, ms. Changes take effect 6 s after they were made,
+/// whether or not they have been received.
+const TIMEOUT_MS: (u64, u64) = (6_000, 60_000);
+/// Time until a poll is given up, in multiples of how late the last response was.
+const TIMEOUT_PER_DELAY: u64 = 2;
 /// Maximum pause after the first failed poll, ms.
 const MIN_PAUSE_MS: u64 = 20;
 /// Maximum pause after any failed poll, ms. It is short because the discovery agent runs on the same machine.
@@ -15,42 +26,143 @@
 /// Maximum number of times that the pause doubles, so that the shift does not overflow.
 const MAX_PAUSE_DOUBLINGS: u32 = 10;
 
+/// Number of a poll, in the order of sending.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PollId(u64);
+
+/// A poll to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// Its number.
+    pub id: PollId,
+    /// `None` to request the full list; otherwise the version since which changes are requested, and how long discovery
+    /// may hold the poll, ms.
+    pub changes: Option<(u64, u64)>,
+    /// Another poll is sent beside it after this time without a response, ms.
+    pub overdue_after_ms: u64,
+    /// It is given up after this time without a response, ms.
+    pub timeout_ms: u64,
+}
+
+impl Poll {
+    /// How long discovery may hold it, ms.
+    pub fn hold_ms(&self) -> u64 {
+        self.changes.map_or(0, |(_, hold_ms)| hold_ms)
+    }
+}
+
+/// What to do with the list in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// It is to be applied.
+    Apply(ListKind),
+    /// It is left over and not newer than the known list: there is nothing to apply.
+    Outdated,
+    /// It cannot be applied: no version is known, or its version is older than the known one. The caller then calls
+    /// [`ListWatch::poll_failed`] with `unreadable` set, so that it pauses before the next poll.
+    Unusable,
+}
+
 /// State of a gateway's polling of the server list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ListWatch {
     /// Version of the last list received; `None` if the full list is needed.
     version: Option<u64>,
-    /// Consecutive failed polls.
+    /// Polls since the last response that failed or became overdue.
     failures: u32,
+    /// Number of the next poll.
+    next: PollId,
+    /// Polls from this number on are current.
+    first_current: PollId,
+    /// Polls from this number on were sent after the known list was received.
+    first_after_list: PollId,
+    /// Time until a poll is given up, after its hold, ms.
+    timeout_ms: u64,
+}
+
+impl Default for ListWatch {
+    fn default() -> ListWatch {
+        ListWatch {
+            version: None,
+            failures: 0,
+            next: PollId(0),
+            first_current: PollId(0),
+            first_after_list: PollId(0),
+            timeout_ms: TIMEOUT_MS.0,
+        }
+    }
 }
 
 impl ListWatch {
-    /// Parameters of the next poll, and the timeout for its response, ms. The parameters are `None` to request the full
-    /// list, otherwise the version since which changes are requested and how long discovery may hold the poll, ms.
-    pub fn next_poll(&self) -> (Option<(u64, u64)>, u64) {
-        match self.version {
-            None => (None, RESPONSE_SLACK_MS),
-            // After a failure the poll is not held, so that another lost poll is detected sooner.
-            Some(version) if self.failures > 0 => (Some((version, 0)), RESPONSE_SLACK_MS),
-            Some(version) => (Some((version, LONG_POLL_MS)), LONG_POLL_MS + RESPONSE_SLACK_MS),
+    /// The next poll, which is sent now.
+    pub fn next_poll(&mut self) -> Poll {
+        // After a failure the poll is not held, so that another lost poll is detected sooner.
+        let hold_ms = if self.failures > 0 { 0 } else { LONG_POLL_MS };
+        let changes = self.version.map(|version| (version, hold_ms));
+        let id = self.next;
+        self.next.0 += 1;
+        let mut poll = Poll { id, changes, overdue_after_ms: 0, timeout_ms: 0 };
+        poll.overdue_after_ms = poll.hold_ms() + RESPONSE_SLACK_MS;
+        poll.timeout_ms = poll.hold_ms() + self.timeout_ms;
+        poll
+    }
+
+    /// Whether a poll was sent since the last response; the others are left over.
+    pub fn is_current(&self, id: PollId) -> bool {
+        id >= self.first_current
+    }
+
+    /// The poll to drop before another is sent, as an index into those in flight, which are in the order of sending.
+    /// The oldest current poll stays, since a slow response to it is due first.
+    pub fn poll_to_drop(&self, in_flight: &[PollId]) -> Option<usize> {
+        if in_flight.len() < MAX_POLLS_IN_FLIGHT {
+            return None;
         }
+        let has_left_over = in_flight.first().is_some_and(|oldest| !self.is_current(*oldest));
+        Some(if has_left_over { 0 } else { 1 })
     }
 
-    /// Handles a response and returns the kind of the list in it. Returns `None` for changes that cannot be applied,
-    /// because no version is known or theirs is older than the known one; the caller then calls
-    /// [`ListWatch::poll_failed`] with `unreadable` set, so that it pauses before the next poll.
-    pub fn response_received(&mut self, full: bool, version: u64) -> Option<ListKind> {
+    /// Handles a response, received `delay_ms` after the end of its poll's hold.
+    pub fn response_received(&mut self, id: PollId, full: bool, version: u64, delay_ms: u64) -> Received {
+        let is_newer = self.version.is_none_or(|known| version > known);
+        if id < self.first_after_list && !is_newer {
+            self.mark_answered(id, delay_ms);
+            return Received::Outdated;
+        }
         if !full && self.version.is_none_or(|known| version < known) {
-            return None;
+            return Received::Unusable;
         }
-        self.failures = 0;
+        self.mark_answered(id, delay_ms);
+        self.first_after_list = self.next;
         self.version = Some(version);
-        Some(if full { ListKind::Full } else { ListKind::Delta })
+        Received::Apply(if full { ListKind::Full } else { ListKind::Delta })
+    }
+
+    /// Notes that a poll was answered; if it is current, the polls in flight are left over from now on.
+    fn mark_answered(&mut self, id: PollId, delay_ms: u64) {
+        if self.is_current(id) {
+            self.failures = 0;
+            self.first_current = self.next;
+            let (min, max) = TIMEOUT_MS;
+            self.timeout_ms = delay_ms.saturating_mul(TIMEOUT_PER_DELAY).clamp(min, max);
+        }
+    }
+
+    /// Notes that a current poll is overdue.
+    pub fn poll_overdue(&mut self) {
+        self.failures += 1;
+    }
+
+    /// Notes that a poll was given up; later ones get more time if discovery has answered no other poll since.
+    pub fn poll_timed_out(&mut self, id: PollId) {
+        if self.is_current(id) {
+            self.timeout_ms = (2 * self.timeout_ms).min(TIMEOUT_MS.1);
+        }
     }
 
-    /// Handles a failed poll and returns the pause before the next one, µs. After an `unreadable` response the full list
-    /// is requested, since the changes in that response are lost. `jitter`, a random number in [0, 1), spreads the polls
-    /// of the gateways: the pause is between half and all of the current backoff.
+    /// Handles a failed current poll and returns the pause before the next one, µs. After an `unreadable` response the
+    /// full list is requested, since the changes in that response are lost. `jitter`, a random number in [0, 1), spreads
+    /// the polls of the gateways: the pause is between half and all of the current backoff.
     pub fn poll_failed(&mut self, unreadable: bool, jitter: f64) -> Micros {
         if unreadable {
             self.version = None;
@@ -61,8 +173,9 @@
     }
 
     /// Forgets the known version and the failures, so that the next poll requests the full list. Called when the address
-    /// of discovery changes.
+    /// of discovery changes; polls in flight are to be dropped.
     pub fn reset(&mut self) {
-        *self = ListWatch::default();
+        let next = self.next;
+        *self = ListWatch { next, first_current: next, first_after_list: next, ..ListWatch::default() };
     }
 }
--- a/crates/resource-policy/tests/hosting.rs
+++ b/crates/resource-policy/tests/hosting.rs
@@ -4,7 +4,9 @@
 use frostgauge_resource_policy::client_permits::{Acquisition, ClientPermits};
 use frostgauge_resource_policy::shares::Shares;
 use frostgauge_resource_policy::timeouts::{last_byte_pause, ConnectionTimeouts};
-use frostgauge_resource_policy::watch::{ListWatch, LONG_POLL_MS, RESPONSE_SLACK_MS};
+use frostgauge_resource_policy::watch::{
+    ListWatch, Received, LONG_POLL_MS, MAX_POLLS_IN_FLIGHT, RESPONSE_SLACK_MS,
+};
 use std::time::Duration;
 
 #[test]
@@ -70,28 +72,106 @@
     }
 }
 
+/// A response in time to a poll that is sent now.
+fn respond(watch: &mut ListWatch, full: bool, version: u64) -> Received {
+    let id = watch.next_poll().id;
+    watch.response_received(id, full, version, 0)
+}
+
 #[test]
 fn list_watch_misses_no_changes() {
     let mut watch = ListWatch::default();
-    assert_eq!(watch.next_poll(), (None, RESPONSE_SLACK_MS));
-    assert_eq!(watch.response_received(true, 41), Some(ListKind::Full));
-    assert_eq!(watch.next_poll(), (Some((41, LONG_POLL_MS)), LONG_POLL_MS + RESPONSE_SLACK_MS));
-    assert_eq!(watch.response_received(false, 43), Some(ListKind::Delta));
+    let first = watch.next_poll();
+    assert_eq!((first.changes, first.overdue_after_ms), (None, RESPONSE_SLACK_MS));
+    assert_eq!(watch.response_received(first.id, true, 41, 0), Received::Apply(ListKind::Full));
+    let second = watch.next_poll();
+    assert_eq!(second.changes, Some((41, LONG_POLL_MS)));
+    assert_eq!(second.overdue_after_ms, LONG_POLL_MS + RESPONSE_SLACK_MS);
+    assert_eq!(watch.response_received(second.id, false, 43, 0), Received::Apply(ListKind::Delta));
     // A missing response loses nothing: polling continues from the known version, with backoff up to 250 ms.
     let pauses: Vec<u64> = (0..8).map(|_| watch.poll_failed(false, 0.999)).collect();
     assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 250_000, "{pauses:?}");
-    assert_eq!(watch.next_poll(), (Some((43, 0)), RESPONSE_SLACK_MS), "a poll after a failure is not held");
+    let after_failure = watch.next_poll();
+    assert_eq!(after_failure.changes, Some((43, 0)), "a poll after a failure is not held");
+    assert_eq!(after_failure.overdue_after_ms, RESPONSE_SLACK_MS);
     // An unreadable response may have contained changes, so the full list is requested.
     watch.poll_failed(true, 0.0);
-    assert_eq!(watch.next_poll().0, None);
+    assert_eq!(watch.next_poll().changes, None);
     // Changes cannot be applied while no list is known.
-    assert_eq!(watch.response_received(false, 44), None);
+    assert_eq!(respond(&mut watch, false, 44), Received::Unusable);
     assert!(watch.poll_failed(true, 0.0) > 0, "there is a pause before the next poll");
-    assert_eq!(watch.response_received(true, 44), Some(ListKind::Full));
-    assert_eq!(watch.response_received(false, 3), None, "an older version, as after a restart of the agent");
+    assert_eq!(respond(&mut watch, true, 44), Received::Apply(ListKind::Full));
+    let restarted = respond(&mut watch, false, 3);
+    assert_eq!(restarted, Received::Unusable, "an older version, as after a restart of the agent");
     watch.poll_failed(true, 0.0);
-    assert_eq!(watch.next_poll().0, None);
-    assert_eq!(watch.response_received(true, 3), Some(ListKind::Full));
+    assert_eq!(watch.next_poll().changes, None);
+    assert_eq!(respond(&mut watch, true, 3), Received::Apply(ListKind::Full));
     watch.reset();
-    assert_eq!(watch.next_poll().0, None);
+    assert_eq!(watch.next_poll().changes, None);
+}
+
+#[test]
+fn list_watch_applies_left_over_responses_only_if_they_are_newer() {
+    let mut watch = ListWatch::default();
+    respond(&mut watch, true, 5);
+    let slow = watch.next_poll();
+    watch.poll_overdue();
+    let beside = watch.next_poll();
+    assert_eq!(beside.changes, Some((5, 0)), "a poll beside an overdue one is not held");
+    assert_eq!(watch.response_received(beside.id, false, 7, 0), Received::Apply(ListKind::Delta));
+    assert!(!watch.is_current(slow.id));
+    let next = watch.next_poll();
+    assert_eq!(next.changes, Some((7, LONG_POLL_MS)));
+    for full in [false, true] {
+        assert_eq!(watch.response_received(slow.id, full, 6, 900), Received::Outdated);
+    }
+    assert_eq!(watch.response_received(slow.id, false, 8, 900), Received::Apply(ListKind::Delta));
+    assert!(watch.is_current(next.id), "a left-over response does not stand for that to the current poll");
+    // The current poll was sent before that list came: its response may hold less.
+    assert_eq!(watch.response_received(next.id, false, 7, 0), Received::Outdated);
+    assert_eq!(watch.next_poll().changes, Some((8, LONG_POLL_MS)));
+}
+
+#[test]
+fn list_watch_bounds_its_polls_and_keeps_the_one_due_first() {
+    let mut watch = ListWatch::default();
+    respond(&mut watch, true, 5);
+    let mut in_flight = vec![watch.next_poll().id];
+    let oldest = in_flight[0];
+    for _ in 0..20 {
+        watch.poll_overdue();
+        while let Some(index) = watch.poll_to_drop(&in_flight) {
+            in_flight.remove(index);
+        }
+        in_flight.push(watch.next_poll().id);
+        assert!(in_flight.len() <= MAX_POLLS_IN_FLIGHT && in_flight[0] == oldest);
+    }
+    // Left-over polls make room first.
+    let answered = in_flight.pop().expect("the last poll");
+    watch.response_received(answered, false, 6, 0);
+    in_flight.push(watch.next_poll().id);
+    assert_eq!(watch.poll_to_drop(&in_flight), Some(0));
+}
+
+/// Guards against a time limit that slow responses exceed each time.
+#[test]
+fn list_watch_waits_longer_after_late_responses_and_lost_ones() {
+    let mut watch = ListWatch::default();
+    respond(&mut watch, true, 5);
+    let usual = watch.next_poll();
+    assert!(usual.timeout_ms > LONG_POLL_MS + 5_000);
+    watch.response_received(usual.id, false, 5, 9_000);
+    let patient = watch.next_poll();
+    assert!(patient.timeout_ms > LONG_POLL_MS + 9_000);
+    // Given up one after another, each poll waits longer than the one before, up to a bound.
+    let mut last = patient;
+    for _ in 0..10 {
+        watch.poll_overdue();
+        watch.poll_timed_out(last.id);
+        let next = watch.next_poll();
+        assert!(next.timeout_ms > last.timeout_ms || next.timeout_ms == 60_000, "{}", next.timeout_ms);
+        last = next;
+    }
+    watch.response_received(last.id, false, 6, 0);
+    assert_eq!(watch.next_poll().timeout_ms, usual.timeout_ms);
 }
