Let an answer go on as long as it makes progress

Callers would see 502 or further attempts for each answer that takes longer than the time to connect (0.25 s) from its first byte to its last, however steadily it comes: over a slow path large answers were never served. Cause: `receive` bounded the whole of an answer; the limit is meant for answers that stop short. Change: the limit holds for a head from its first byte to its last, and for each pause in the content.

--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -186,8 +186,8 @@
     receive(stream, to_head, limits, None).await
 }
 
-/// Reads a response, and whether the connection may go on. `whole`: how long a response may take from its first byte
-/// to its last; interim ones count by themselves.
+/// Reads a response, and whether the connection may go on. `progress`: how long a head may take from its first byte to
+/// its last, each interim one by itself, and how long content may pause. A slow response that goes on is not cut off.
 ///
 /// # Errors
 /// Those of the stream, bytes that are no response, and one that stops short (`TimedOut`).
@@ -195,12 +195,10 @@
     stream: &Async<TcpStream>,
     to_head: bool,
     limits: &Limits,
-    whole: Option<Duration>,
+    progress: Option<Duration>,
 ) -> io::Result<(Response, bool)> {
     let mut buf = Vec::new();
-    // When the response being read began.
-    let mut begun = None;
-    let head = final_head(stream, limits, whole, &mut buf, &mut begun).await?;
+    let head = final_head(stream, limits, progress, &mut buf).await?;
     let framing = head.response_framing(to_head).map_err(bad)?;
     let mut reader = BodyReader::new(framing, limits).map_err(bad)?;
     let mut body = Vec::new();
@@ -212,7 +210,8 @@
             break;
         }
         buf.clear();
-        if piece(stream, &mut buf, &mut begun, whole).await? == 0 {
+        let limit = progress.map(|time| Instant::now() + time);
+        if piece(stream, &mut buf, limit).await? == 0 {
             if reader.ends_with_close() {
                 break;
             }
@@ -233,20 +232,23 @@
 async fn final_head(
     stream: &Async<TcpStream>,
     limits: &Limits,
-    whole: Option<Duration>,
+    progress: Option<Duration>,
     buf: &mut Vec<u8>,
-    begun: &mut Option<Instant>,
 ) -> io::Result<Head> {
     let mut interim_bytes = 0;
+    // When the head being read began.
+    let mut begun: Option<Instant> = None;
     loop {
         let mut reader = HeadReader::default();
         let end = loop {
             if let Some(end) = reader.push(buf, limits).map_err(bad)? {
                 break end;
             }
-            if piece(stream, buf, begun, whole).await? == 0 {
+            let limit = begun.zip(progress).map(|(at, time)| at + time);
+            if piece(stream, buf, limit).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
+            begun.get_or_insert_with(Instant::now);
         };
         let head = Head::response(&buf[..end]).map_err(bad)?;
         buf.drain(..end);
@@ -258,27 +260,21 @@
         if interim_bytes > limits.head {
             return Err(bad(HttpError::HeadTooLarge));
         }
-        *begun = (!buf.is_empty()).then(Instant::now);
+        begun = (!buf.is_empty()).then(Instant::now);
     }
 }
 
-/// Reads once, within the time for a response that has begun.
+/// Reads once, up to this moment.
 async fn piece(
     mut stream: &Async<TcpStream>,
     buf: &mut Vec<u8>,
-    begun: &mut Option<Instant>,
-    whole: Option<Duration>,
+    limit: Option<Instant>,
 ) -> io::Result<usize> {
-    match begun.zip(whole) {
-        None => {
-            let n = read_some(&mut stream, buf).await?;
-            *begun = Some(Instant::now());
-            Ok(n)
-        }
-        // What is here already is taken however late this process looks.
-        Some((at, whole)) => match until(at + whole, read_some(&mut stream, buf)).await {
-            Timed::Done(n) => n,
-            Timed::Late => Err(io::ErrorKind::TimedOut.into()),
-        },
+    let read = read_some(&mut stream, buf);
+    let Some(limit) = limit else { return read.await };
+    // What is here already is taken however late this process looks.
+    match until(limit, read).await {
+        Timed::Done(n) => n,
+        Timed::Late => Err(io::ErrorKind::TimedOut.into()),
     }
 }
--- a/crates/platform-gateway/src/host.rs
+++ b/crates/platform-gateway/src/host.rs
@@ -129,15 +129,17 @@
 
 impl Platform {
     fn times(&self, timeout: Duration) -> Times {
-        let (now, timeouts::ConnectionTimeouts { connect, first_byte, last_byte_pause, response, .. }) =
-            (Instant::now(), self.times);
+        let (
+            now,
+            timeouts::ConnectionTimeouts { connect, first_byte, last_byte_pause, response_progress, .. },
+        ) = (Instant::now(), self.times);
         Times {
             connect,
             first_byte: now + first_byte,
             repeat_by: None,
             deadline: now + timeout,
             pause: last_byte_pause,
-            whole: response,
+            progress: response_progress,
         }
     }
 
--- a/crates/platform-gateway/src/upstream.rs
+++ b/crates/platform-gateway/src/upstream.rs
@@ -61,9 +61,9 @@
     pub deadline: Instant,
     /// Shortest and longest time between a request's other bytes and its last one.
     pub pause: (Duration, Duration),
-    /// From an answer's first byte to its last, at most: an answer that stops short is a failure early enough for a
-    /// retry.
-    pub whole: Duration,
+    /// Maximum time from the first byte of an answer's head to its last, and between pieces of its content: an answer that
+    /// stops short is a failure early enough for a retry.
+    pub progress: Duration,
 }
 
 impl Times {
@@ -204,7 +204,7 @@
 
 /// Reads the answer to a request that is written.
 async fn answered(connection: PooledConnection, times: Times) -> Result<Answered, Status> {
-    let answer = receive(&connection.stream, false, &ANSWER_LIMITS, Some(times.whole));
+    let answer = receive(&connection.stream, false, &ANSWER_LIMITS, Some(times.progress));
     match until(times.deadline, answer).await {
         Timed::Done(Ok((response, keep))) => Ok((response, keep.then_some(connection))),
         Timed::Done(Err(_)) => Err(Status::Reset),
--- a/crates/resource-policy/src/timeouts.rs
+++ b/crates/resource-policy/src/timeouts.rs
@@ -48,8 +48,8 @@
     pub idle: Duration,
     /// Minimum and maximum pause before the last byte of a request; see [`last_byte_pause`].
     pub last_byte_pause: (Duration, Duration),
-    /// Maximum time from the first byte of a response to its last.
-    pub response: Duration,
+    /// Maximum time from the first byte of a response's head to its last, and between pieces of its content.
+    pub response_progress: Duration,
 }
 
 impl ConnectionTimeouts {
@@ -66,7 +66,7 @@
             first_byte: or_default(drain_grace_us, connect).min(2 * connect),
             idle,
             last_byte_pause: LAST_BYTE_PAUSE,
-            response: connect,
+            response_progress: connect,
         }
     }
 }
