Send fewer polls beside each other at a discovery that is known to be slow

Need: the polls sent beside an overdue one each 0.4 s keep a discovery crowded that serves one call after another. Change: after a late answer a poll is overdue after twice its delay, 0.4 to 2 s; an answer within the hold halves that again. The first answer after silence is logged as `discovery answers again`, late or not.

--- a/crates/platform-gateway/src/discovery/mod.rs
+++ b/crates/platform-gateway/src/discovery/mod.rs
@@ -129,7 +129,7 @@
             }
         };
         let Answer { list, connection } = answer;
-        let delay_ms = delay.as_millis() as u64;
+        let delay_ms = delay.map(|delay| delay.as_millis() as u64);
         let received = self.watch.response_received(id, list.reset, list.generation, delay_ms);
         if is_current && received == Received::Unusable {
             let reason = "changes to a list that is not held".to_owned();
@@ -171,8 +171,14 @@
         tracing::warn!(address = %self.address, %reason, "discovery does not answer; the list held stays");
     }
 
-    fn log_response(&mut self, generation: u64, delay_ms: u64) {
-        let responses = if delay_ms > RESPONSE_SLACK_MS { Responses::Late } else { Responses::InTime };
+    fn log_response(&mut self, generation: u64, delay_ms: Option<u64>) {
+        let responses = match (self.responses, delay_ms) {
+            // What was held back by an outage is late without a slow discovery.
+            (Responses::Missing, _) => Responses::InTime,
+            (_, Some(delay_ms)) if delay_ms > RESPONSE_SLACK_MS => Responses::Late,
+            (Responses::Late, None) => Responses::Late,
+            _ => Responses::InTime,
+        };
         if std::mem::replace(&mut self.responses, responses) == responses {
             return;
         }
--- a/crates/platform-gateway/src/discovery/poll.rs
+++ b/crates/platform-gateway/src/discovery/poll.rs
@@ -37,8 +37,8 @@
 /// The end of a poll.
 pub(super) struct Ended {
     pub(super) id: PollId,
-    /// Time from the end of the poll's hold to its own end; zero if it ended earlier.
-    pub(super) delay: Duration,
+    /// Time from the end of the poll's hold to its own end; `None` if it ended within the hold.
+    pub(super) delay: Option<Duration>,
     pub(super) result: Result<Answer, PollError>,
 }
 
@@ -85,7 +85,7 @@
         for index in 0..self.polls.len() {
             if let TaskPoll::Ready(result) = self.polls[index].exchange.as_mut().poll(context) {
                 let InFlight { poll, sent_at, .. } = self.polls.remove(index);
-                let delay = sent_at.elapsed().saturating_sub(Duration::from_millis(poll.hold_ms()));
+                let delay = sent_at.elapsed().checked_sub(Duration::from_millis(poll.hold_ms()));
                 return TaskPoll::Ready(Ended { id: poll.id, delay, result });
             }
         }
--- a/crates/platform-gateway/tests/discovery.rs
+++ b/crates/platform-gateway/tests/discovery.rs
@@ -12,7 +12,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A change takes effect this long after discovery had it, at the latest, by the rules of the platform.
@@ -124,6 +124,23 @@
     });
 }
 
+/// Guards against polls that keep a crowded discovery crowded.
+#[test]
+fn lists_of_an_agent_that_serves_one_call_after_another_are_received() {
+    static BUSY: Mutex<()> = Mutex::new(());
+    // It does not notice that a caller has gone.
+    let agent = Agent::start(|_| {
+        let _one = BUSY.lock().expect("unpoisoned");
+        std::thread::sleep(Duration::from_millis(1_500));
+        Some(Duration::ZERO)
+    });
+    follow_agent(&agent, async |messages| {
+        for _ in 0..6 {
+            assert!(next_list(messages).await < EFFECT_LIMIT);
+        }
+    });
+}
+
 #[test]
 fn silent_discovery_holds_a_bounded_number_of_connections() {
     let agent = Agent::start(|_| None);
--- a/crates/resource-policy/src/watch.rs
+++ b/crates/resource-policy/src/watch.rs
@@ -10,8 +10,13 @@
 /// How long discovery may hold a long poll if nothing changes, ms. A lost response looks like a held poll, and the
 /// changes in it must take effect within 2 s after the hold: the time for detecting the loss and polling again.
 pub const LONG_POLL_MS: u64 = 1_000;
-/// A poll without a response is overdue this long after its hold, ms.
+/// A poll without a response is overdue this long after its hold, ms; later after late responses.
 pub const RESPONSE_SLACK_MS: u64 = 400;
+/// Maximum time after its hold until a poll is overdue, ms.
+const MAX_SLACK_MS: u64 = 2_000;
+/// Time until a poll is overdue, in multiples of how late the last response was. More polls would only add to the load of
+/// a slow discovery.
+const SLACK_PER_DELAY: u64 = 2;
 /// Maximum number of polls in flight.
 pub const MAX_POLLS_IN_FLIGHT: usize = 4;
 /// Minimum and maximum time after its hold until a poll is given up, ms. Changes take effect 6 s after they were made,
@@ -76,6 +81,8 @@
     first_current: PollId,
     /// Polls from this number on were sent after the known list was received.
     first_after_list: PollId,
+    /// Time until a poll is overdue, after its hold, ms.
+    slack_ms: u64,
     /// Time until a poll is given up, after its hold, ms.
     timeout_ms: u64,
 }
@@ -88,6 +95,7 @@
             next: PollId(0),
             first_current: PollId(0),
             first_after_list: PollId(0),
+            slack_ms: RESPONSE_SLACK_MS,
             timeout_ms: TIMEOUT_MS.0,
         }
     }
@@ -102,7 +110,7 @@
         let id = self.next;
         self.next.0 += 1;
         let mut poll = Poll { id, changes, overdue_after_ms: 0, timeout_ms: 0 };
-        poll.overdue_after_ms = poll.hold_ms() + RESPONSE_SLACK_MS;
+        poll.overdue_after_ms = poll.hold_ms() + self.slack_ms;
         poll.timeout_ms = poll.hold_ms() + self.timeout_ms;
         poll
     }
@@ -122,8 +130,15 @@
         Some(if has_left_over { 0 } else { 1 })
     }
 
-    /// Handles a response, received `delay_ms` after the end of its poll's hold.
-    pub fn response_received(&mut self, id: PollId, full: bool, version: u64, delay_ms: u64) -> Received {
+    /// Handles a response, received `delay_ms` after the end of its poll's hold; `None` if it came within the hold, which
+    /// does not show how late it was: later polls then get half of the additional time.
+    pub fn response_received(
+        &mut self,
+        id: PollId,
+        full: bool,
+        version: u64,
+        delay_ms: Option<u64>,
+    ) -> Received {
         let is_newer = self.version.is_none_or(|known| version > known);
         if id < self.first_after_list && !is_newer {
             self.mark_answered(id, delay_ms);
@@ -139,13 +154,20 @@
     }
 
     /// Notes that a poll was answered; if it is current, the polls in flight are left over from now on.
-    fn mark_answered(&mut self, id: PollId, delay_ms: u64) {
-        if self.is_current(id) {
-            self.failures = 0;
-            self.first_current = self.next;
-            let (min, max) = TIMEOUT_MS;
-            self.timeout_ms = delay_ms.saturating_mul(TIMEOUT_PER_DELAY).clamp(min, max);
+    fn mark_answered(&mut self, id: PollId, delay_ms: Option<u64>) {
+        if !self.is_current(id) {
+            return;
         }
+        self.failures = 0;
+        self.first_current = self.next;
+        let (slack_ms, timeout_ms) = match delay_ms {
+            Some(delay_ms) => {
+                (delay_ms.saturating_mul(SLACK_PER_DELAY), delay_ms.saturating_mul(TIMEOUT_PER_DELAY))
+            }
+            None => (self.slack_ms / 2, self.timeout_ms / 2),
+        };
+        self.slack_ms = slack_ms.clamp(RESPONSE_SLACK_MS, MAX_SLACK_MS);
+        self.timeout_ms = timeout_ms.clamp(TIMEOUT_MS.0, TIMEOUT_MS.1);
     }
 
     /// Notes that a current poll is overdue.
--- a/crates/resource-policy/tests/hosting.rs
+++ b/crates/resource-policy/tests/hosting.rs
@@ -75,7 +75,7 @@
 /// A response in time to a poll that is sent now.
 fn respond(watch: &mut ListWatch, full: bool, version: u64) -> Received {
     let id = watch.next_poll().id;
-    watch.response_received(id, full, version, 0)
+    watch.response_received(id, full, version, Some(0))
 }
 
 #[test]
@@ -83,11 +83,11 @@
     let mut watch = ListWatch::default();
     let first = watch.next_poll();
     assert_eq!((first.changes, first.overdue_after_ms), (None, RESPONSE_SLACK_MS));
-    assert_eq!(watch.response_received(first.id, true, 41, 0), Received::Apply(ListKind::Full));
+    assert_eq!(watch.response_received(first.id, true, 41, Some(0)), Received::Apply(ListKind::Full));
     let second = watch.next_poll();
     assert_eq!(second.changes, Some((41, LONG_POLL_MS)));
     assert_eq!(second.overdue_after_ms, LONG_POLL_MS + RESPONSE_SLACK_MS);
-    assert_eq!(watch.response_received(second.id, false, 43, 0), Received::Apply(ListKind::Delta));
+    assert_eq!(watch.response_received(second.id, false, 43, Some(0)), Received::Apply(ListKind::Delta));
     // A missing response loses nothing: polling continues from the known version, with backoff up to 250 ms.
     let pauses: Vec<u64> = (0..8).map(|_| watch.poll_failed(false, 0.999)).collect();
     assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[7] <= 250_000, "{pauses:?}");
@@ -118,17 +118,17 @@
     watch.poll_overdue();
     let beside = watch.next_poll();
     assert_eq!(beside.changes, Some((5, 0)), "a poll beside an overdue one is not held");
-    assert_eq!(watch.response_received(beside.id, false, 7, 0), Received::Apply(ListKind::Delta));
+    assert_eq!(watch.response_received(beside.id, false, 7, Some(0)), Received::Apply(ListKind::Delta));
     assert!(!watch.is_current(slow.id));
     let next = watch.next_poll();
     assert_eq!(next.changes, Some((7, LONG_POLL_MS)));
     for full in [false, true] {
-        assert_eq!(watch.response_received(slow.id, full, 6, 900), Received::Outdated);
+        assert_eq!(watch.response_received(slow.id, full, 6, Some(900)), Received::Outdated);
     }
-    assert_eq!(watch.response_received(slow.id, false, 8, 900), Received::Apply(ListKind::Delta));
+    assert_eq!(watch.response_received(slow.id, false, 8, Some(900)), Received::Apply(ListKind::Delta));
     assert!(watch.is_current(next.id), "a left-over response does not stand for that to the current poll");
     // The current poll was sent before that list came: its response may hold less.
-    assert_eq!(watch.response_received(next.id, false, 7, 0), Received::Outdated);
+    assert_eq!(watch.response_received(next.id, false, 7, Some(0)), Received::Outdated);
     assert_eq!(watch.next_poll().changes, Some((8, LONG_POLL_MS)));
 }
 
@@ -148,11 +148,30 @@
     }
     // Left-over polls make room first.
     let answered = in_flight.pop().expect("the last poll");
-    watch.response_received(answered, false, 6, 0);
+    watch.response_received(answered, false, 6, Some(0));
     in_flight.push(watch.next_poll().id);
     assert_eq!(watch.poll_to_drop(&in_flight), Some(0));
 }
 
+/// Guards against ever more polls at a discovery that is slow because it has too many.
+#[test]
+fn list_watch_sends_fewer_polls_beside_each_other_after_late_responses() {
+    let mut watch = ListWatch::default();
+    respond(&mut watch, true, 5);
+    let slow = watch.next_poll();
+    watch.response_received(slow.id, false, 5, Some(500));
+    let after_late = watch.next_poll();
+    assert!(after_late.overdue_after_ms > LONG_POLL_MS + 500, "as late again, it is not overdue");
+    watch.response_received(after_late.id, false, 6, None);
+    let after_early = watch.next_poll();
+    assert!(after_early.overdue_after_ms < after_late.overdue_after_ms, "a change came within the hold");
+    watch.response_received(after_early.id, false, 6, Some(30_000));
+    let after_outage = watch.next_poll();
+    assert!(after_outage.overdue_after_ms <= LONG_POLL_MS + 2_000, "a lost response is noticed all the same");
+    watch.response_received(after_outage.id, false, 6, Some(0));
+    assert_eq!(watch.next_poll().overdue_after_ms, LONG_POLL_MS + RESPONSE_SLACK_MS);
+}
+
 /// Guards against a time limit that slow responses exceed each time.
 #[test]
 fn list_watch_waits_longer_after_late_responses_and_lost_ones() {
@@ -160,7 +179,7 @@
     respond(&mut watch, true, 5);
     let usual = watch.next_poll();
     assert!(usual.timeout_ms > LONG_POLL_MS + 5_000);
-    watch.response_received(usual.id, false, 5, 9_000);
+    watch.response_received(usual.id, false, 5, Some(9_000));
     let patient = watch.next_poll();
     assert!(patient.timeout_ms > LONG_POLL_MS + 9_000);
     // Given up one after another, each poll waits longer than the one before, up to a bound.
@@ -172,6 +191,6 @@
         assert!(next.timeout_ms > last.timeout_ms || next.timeout_ms == 60_000, "{}", next.timeout_ms);
         last = next;
     }
-    watch.response_received(last.id, false, 6, 0);
+    watch.response_received(last.id, false, 6, Some(0));
     assert_eq!(watch.next_poll().timeout_ms, usual.timeout_ms);
 }
