--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -66,6 +66,14 @@
         Ok(Some((PeerSender { socket, addresses, sender }, peer_receiver)))
     }
 
+    /// The address that the socket is bound to.
+    ///
+    /// # Errors
+    /// The system does not return it.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.get_ref().local_addr()
+    }
+
     /// Sends a message to a gateway without waiting. If the socket cannot send it now, the message is lost and counted;
     /// receivers have to allow for lost datagrams anyway.
     pub fn send(&mut self, to: usize, message: &[u8]) {
--- a/crates/platform-gateway/tests/attempts.rs
+++ b/crates/platform-gateway/tests/attempts.rs
@@ -73,6 +73,14 @@
     }
 }
 
+/// Reads the whole request of an attempt that gets no quick answer; the server's side of its connection.
+fn accepted_with_request(listener: &TcpListener) -> TcpStream {
+    let mut theirs = accepted(listener);
+    theirs.set_read_timeout(Some(PATIENCE)).expect("set");
+    theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+    theirs
+}
+
 /// Resets a connection: it is closed with something unread. What is sent later over loopback comes later, so once a
 /// byte behind it is here, the other side has heard.
 fn reset(theirs: TcpStream, listener: &TcpListener) {
@@ -183,9 +191,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let to = listener.local_addr().expect("an address");
         let server = std::thread::spawn(move || {
-            let mut theirs = accepted(&listener);
-            theirs.set_read_timeout(Some(PATIENCE)).expect("set");
-            theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+            let mut theirs = accepted_with_request(&listener);
             // An interim one has nothing to do with how long the answer takes.
             theirs.write_all(b"HTTP/1.1 102 Processing\r\n\r\n").expect("written");
             std::thread::sleep(Duration::from_millis(50));
@@ -209,9 +215,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
     let server = std::thread::spawn(move || {
-        let mut theirs = accepted(&listener);
-        theirs.set_read_timeout(Some(PATIENCE)).expect("set");
-        theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+        let mut theirs = accepted_with_request(&listener);
         let answer = [b"HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\n", &[b'x'; 30][..]].concat();
         let (first, rest) = answer.split_at(at_once);
         theirs.write_all(first).expect("written");
@@ -248,9 +252,7 @@
     let to = listener.local_addr().expect("an address");
     let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     let server = std::thread::spawn(move || {
-        let mut theirs = accepted(&listener);
-        theirs.set_read_timeout(Some(PATIENCE)).expect("set");
-        theirs.read_exact(&mut vec![0; REQUEST.len()]).expect("a whole request");
+        let mut theirs = accepted_with_request(&listener);
     });
     assert_eq!(
         block_on(attempt(&pool, &site, (SERVER, to), whole, times(), pending())).status,
--- a/crates/platform-gateway/tests/discovery.rs
+++ b/crates/platform-gateway/tests/discovery.rs
@@ -91,37 +91,32 @@
     }
 }
 
+/// Follows an agent that behaves so; a number of lists in a row come in time.
+fn lists_come_in_time(behaviour: Behaviour, lists: usize) {
+    follow_agent(&Agent::start(behaviour), async |messages| {
+        for _ in 0..lists {
+            let took = next_list(messages).await;
+            assert!(took < EFFECT_LIMIT, "{took:?}");
+        }
+    });
+}
+
 /// Guards against lists that are never received because each response comes just after its poll was given up.
 #[test]
 fn lists_that_are_each_half_a_second_late_are_received() {
-    let agent = Agent::start(|_| Some(Duration::from_millis(500)));
-    follow_agent(&agent, async |messages| {
-        for _ in 0..4 {
-            assert!(next_list(messages).await < EFFECT_LIMIT);
-        }
-    });
+    lists_come_in_time(|_| Some(Duration::from_millis(500)), 4);
 }
 
 /// Guards against a limit that is only moved further out.
 #[test]
 fn lists_that_are_each_three_seconds_late_are_received() {
-    let agent = Agent::start(|_| Some(Duration::from_secs(3)));
-    follow_agent(&agent, async |messages| {
-        for _ in 0..3 {
-            assert!(next_list(messages).await < EFFECT_LIMIT);
-        }
-    });
+    lists_come_in_time(|_| Some(Duration::from_secs(3)), 3);
 }
 
 /// Guards against a poll whose response is lost and that keeps late ones from being received.
 #[test]
 fn lists_that_are_late_are_received_while_each_third_is_lost() {
-    let agent = Agent::start(|call| (call % 3 != 1).then_some(Duration::from_millis(700)));
-    follow_agent(&agent, async |messages| {
-        for _ in 0..4 {
-            assert!(next_list(messages).await < EFFECT_LIMIT);
-        }
-    });
+    lists_come_in_time(|call| (call % 3 != 1).then_some(Duration::from_millis(700)), 4);
 }
 
 /// Guards against polls that keep a crowded discovery crowded.
@@ -129,16 +124,12 @@
 fn lists_of_an_agent_that_serves_one_call_after_another_are_received() {
     static BUSY: Mutex<()> = Mutex::new(());
     // It does not notice that a caller has gone.
-    let agent = Agent::start(|_| {
+    let one_after_another = |_| {
         let _one = BUSY.lock().expect("unpoisoned");
         std::thread::sleep(Duration::from_millis(1_500));
         Some(Duration::ZERO)
-    });
-    follow_agent(&agent, async |messages| {
-        for _ in 0..6 {
-            assert!(next_list(messages).await < EFFECT_LIMIT);
-        }
-    });
+    };
+    lists_come_in_time(one_after_another, 6);
 }
 
 #[test]
