--- a/crates/platform-gateway/tests/attempts.rs
+++ b/crates/platform-gateway/tests/attempts.rs
@@ -252,7 +252,7 @@
     let to = listener.local_addr().expect("an address");
     let (site, pool) = (site(), ConnectionPool::new(2, PATIENCE));
     let server = std::thread::spawn(move || {
-        let mut theirs = accepted_with_request(&listener);
+        drop(accepted_with_request(&listener));
     });
     assert_eq!(
         block_on(attempt(&pool, &site, (SERVER, to), whole, times(), pending())).status,
