--- a/src/request.rs
+++ b/src/request.rs
@@ -14,7 +14,7 @@
     pub is_retry: bool,
 }
 
-/// Where a server is. The servers of one zone or cell may share the keys of the requests that they deduplicate.
+/// Where a server is. Servers of one zone or cell may share the keys of the requests that they deduplicate.
 #[derive(Clone, Copy)]
 pub(crate) struct Location {
     pub zone: u32,
