Apply a left-over list of the known version; only older ones are outdated

Need: a list of the same version names the same servers, so there is no reason to tell it from one to a current poll; a whole list is the safer of the two. Change: answers to polls that were sent before the known list came are outdated only if their version is older.

--- a/crates/resource-policy/src/watch.rs
+++ b/crates/resource-policy/src/watch.rs
@@ -61,7 +61,7 @@
 pub enum Received {
     /// It is to be applied.
     Apply(ListKind),
-    /// It is left over and not newer than the known list: there is nothing to apply.
+    /// Its poll was sent before the known list came, and its version is older: there is nothing to apply.
     Outdated,
     /// It cannot be applied: no version is known, or its version is older than the known one. The caller then calls
     /// [`ListWatch::poll_failed`] with `unreadable` set, so that it pauses before the next poll.
@@ -139,12 +139,12 @@
         version: u64,
         delay_ms: Option<u64>,
     ) -> Received {
-        let is_newer = self.version.is_none_or(|known| version > known);
-        if id < self.first_after_list && !is_newer {
+        let is_older = self.version.is_some_and(|known| version < known);
+        if is_older && id < self.first_after_list {
             self.mark_answered(id, delay_ms);
             return Received::Outdated;
         }
-        if !full && self.version.is_none_or(|known| version < known) {
+        if !full && (is_older || self.version.is_none()) {
             return Received::Unusable;
         }
         self.mark_answered(id, delay_ms);
