--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -446,11 +446,17 @@
     }
 
     fn wait_until_ready(&self) {
-        wait("ready", || {
-            TcpStream::connect(self.address).is_ok_and(|s| {
-                Client(BufReader::new(s)).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status() == 200
-            })
-        });
+        let end = Instant::now() + PATIENCE;
+        while !self.is_ready() {
+            assert!(Instant::now() < end, "waited in vain: ready; log of the program:\n{}", self.log());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        TcpStream::connect(self.address).is_ok_and(|stream| {
+            Client(BufReader::new(stream)).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status() == 200
+        })
     }
 
     /// Kills it outright, and starts it anew at its address.
