--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod server;
 
 mod case_copy;
+mod case_gone;
 
 use record::Verdict;
 use std::process::exit;
@@ -31,6 +32,7 @@
     });
     let run = move || match case.as_str() {
         "copy" => case_copy::run(&path, trouble),
+        "gone" => case_gone::run(&path, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
