--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 
 mod case_copy;
 mod case_gone;
+mod case_pipeline;
 
 use record::Verdict;
 use std::process::exit;
@@ -33,6 +34,7 @@
     let run = move || match case.as_str() {
         "copy" => case_copy::run(&path, trouble),
         "gone" => case_gone::run(&path, trouble),
+        "pipeline" => case_pipeline::run(&path, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
