--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod case_copy;
 mod case_gone;
 mod case_pipeline;
+mod case_stall;
 
 use record::Verdict;
 use std::process::exit;
@@ -35,6 +36,7 @@
         "copy" => case_copy::run(&path, trouble),
         "gone" => case_gone::run(&path, trouble),
         "pipeline" => case_pipeline::run(&path, trouble),
+        "stall" => case_stall::run(&path, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
