Review case 10: a ceiling passed as a cut ends

Cause: units of the ceiling are taken at the decision and refilled before an attempt reaches a server.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod record;
 mod server;
 
+mod case_ceiling;
 mod case_copy;
 mod case_gone;
 mod case_pipeline;
@@ -33,6 +34,7 @@
         exit(2);
     });
     let run = move || match case.as_str() {
+        "ceiling" => case_ceiling::run(&path, trouble),
         "copy" => case_copy::run(&path, trouble),
         "gone" => case_gone::run(&path, trouble),
         "pipeline" => case_pipeline::run(&path, trouble),
