Review case 10: discovery that was slow is asked too late after an outage

Cause: the time until a poll is overdue grows with late answers and stays during an outage, so that its end is noticed late.

--- a/review/standin-2/discovery.rs
+++ b/review/standin-2/discovery.rs
@@ -4,6 +4,7 @@
 use crate::server::Server;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,6 +29,12 @@
 pub struct Discovery {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Each answer is written so many ms after it is due.
+    slow_ms: Arc<AtomicU64>,
+    /// It is down: calls are taken and dropped.
+    down: Arc<AtomicBool>,
+    /// Calls taken while it was down.
+    dropped: Arc<AtomicU64>,
     record: Record,
 }
 
@@ -50,7 +57,14 @@
         };
         let state = State { version: 41, entries: servers.iter().enumerate().map(entry).collect() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
-        let discovery = Discovery { address, state, record: record.clone() };
+        let discovery = Discovery {
+            address,
+            state,
+            slow_ms: Arc::default(),
+            down: Arc::default(),
+            dropped: Arc::default(),
+            record: record.clone(),
+        };
         let agent = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -82,6 +96,23 @@
         at
     }
 
+    /// Lets each answer be late by so many ms.
+    pub fn be_slow(&self, ms: u64) {
+        self.slow_ms.store(ms, Ordering::SeqCst);
+        self.record.note(&format!("discovery answers {ms} ms late from now on"));
+    }
+
+    /// Takes it down, or brings it back.
+    pub fn be_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        self.record.note(if down { "discovery is down" } else { "discovery is back" });
+    }
+
+    /// Calls taken while it was down.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buf: Vec<u8> = Vec::new();
@@ -102,7 +133,19 @@
                 let rest = head.split_once(name)?.1;
                 rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
             };
-            let (body, version) = self.wait(number("from="), number("hold_ms=").unwrap_or(0));
+            if self.drops("as it came") {
+                continue;
+            }
+            let from = number("from=");
+            self.wait(from, number("hold_ms=").unwrap_or(0));
+            if self.drops("as it waited") {
+                continue;
+            }
+            thread::sleep(Duration::from_millis(self.slow_ms.load(Ordering::SeqCst)));
+            if self.drops("as its answer was under way") {
+                continue;
+            }
+            let (body, version) = self.wait(from, 0);
             let text = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -114,6 +157,16 @@
         }
     }
 
+    /// Whether a call gets no answer, since discovery is down.
+    fn drops(&self, when: &str) -> bool {
+        let down = self.down.load(Ordering::SeqCst);
+        if down {
+            self.dropped.fetch_add(1, Ordering::SeqCst);
+            self.record.note(&format!("discovery is down and drops a call {when}"));
+        }
+        down
+    }
+
     fn wait(&self, from: Option<u64>, hold_ms: u64) -> (String, u64) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("the list");
--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -81,8 +81,14 @@
 }
 
 impl Gateway {
-    /// Starts a gateway and waits until it is ready.
+    /// Starts a gateway and waits until it is ready. A free port may be taken by someone else before the gateway listens
+    /// on it: it ends then, and is started with another.
     pub fn start(setup: &Setup, record: &Record) -> Gateway {
+        let started = (0..5).find_map(|_| Gateway::start_once(setup, record));
+        started.expect("the gateway cannot be started")
+    }
+
+    fn start_once(setup: &Setup, record: &Record) -> Option<Gateway> {
         let address = free_address();
         let number = setup.settings.number;
         let unique = format!("review-2-{}-{number}-{}", std::process::id(), address.port());
@@ -127,14 +133,18 @@
         unsafe { command.pre_exec(die_with_parent) };
         let child = command.spawn().expect("the gateway cannot be started");
         record.note(&format!("gateway n{number} pid {} listens on {address}", child.id()));
-        let gateway = Gateway { address, child, folder };
-        gateway.wait_ready(record);
-        gateway
+        let mut gateway = Gateway { address, child, folder };
+        gateway.wait_ready(record).then_some(gateway)
     }
 
-    fn wait_ready(&self, record: &Record) {
+    /// Waits until it is ready; false if it has ended.
+    fn wait_ready(&mut self, record: &Record) -> bool {
         let end = Instant::now() + Duration::from_secs(30);
         while Instant::now() < end {
+            if let Some(status) = self.ended() {
+                record.note(&format!("the gateway ended before it was ready: {status}"));
+                return false;
+            }
             if let Ok(mut stream) = TcpStream::connect(self.address) {
                 let _ = std::io::Write::write_all(&mut stream, b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
                 let answer: Result<_, Ended> = client::read_answer(
@@ -144,7 +154,7 @@
                 );
                 if answer.is_ok_and(|a| a.status == 200) {
                     record.note("the gateway is ready");
-                    return;
+                    return true;
                 }
             }
             std::thread::sleep(Duration::from_millis(20));
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,8 +10,10 @@
 mod case_ceiling;
 mod case_copy;
 mod case_gone;
+mod case_outage;
 mod case_pipeline;
 mod case_stall;
+mod case_starve;
 
 use record::Verdict;
 use std::process::exit;
@@ -37,7 +39,9 @@
         "ceiling" => case_ceiling::run(&path, trouble),
         "copy" => case_copy::run(&path, trouble),
         "gone" => case_gone::run(&path, trouble),
+        "outage" => case_outage::run(&path, trouble),
         "pipeline" => case_pipeline::run(&path, trouble),
+        "starve" => case_starve::run(&path, trouble),
         "stall" => case_stall::run(&path, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
