--- a/review/standin-2/case_copy.rs
+++ b/review/standin-2/case_copy.rs
@@ -66,6 +66,7 @@
         while begun.elapsed() < Duration::from_millis(STOPS_AT_MS) {
             let Ok(mut stream) = TcpStream::connect(address) else { break };
             let _ = stream.write_all(&copy.bytes());
+            record.note(&format!("the bad client sends a copy of {}", copy.id));
             match read_answer(&mut stream, &mut Vec::new(), begun + Duration::from_millis(STOPS_AT_MS)) {
                 Ok(answer) => record.note(&format!("the bad client gets {} for {}", answer.status, copy.id)),
                 Err(end) => record.note(&format!("the bad client goes with {}: {end:?}", copy.id)),
--- a/review/standin-2/case_gone.rs
+++ b/review/standin-2/case_gone.rs
@@ -48,8 +48,11 @@
                 if stream.write_all(&bytes).is_err() {
                     return;
                 }
-                record
-                    .note(&format!("client {k} has sent {AT_ONCE} requests at once, {} bytes", bytes.len()));
+                record.note(&format!(
+                    "client {k} has sent g{k}-0 to g{k}-{} at once, {} bytes",
+                    AT_ONCE - 1,
+                    bytes.len()
+                ));
                 if trouble {
                     drop(stream);
                     let at = record.now();
--- a/review/standin-2/case_outage.rs
+++ b/review/standin-2/case_outage.rs
@@ -111,10 +111,14 @@
             if stream.write_all(&ask.bytes()).is_err() {
                 break;
             }
+            record.note(&format!("client {k} sends {}", ask.id));
             let until = Instant::now() + Duration::from_millis(2_500);
             match read_answer(&mut stream, &mut buf, until) {
                 Ok(answer) => record.note(&format!("client {k} gets {} for {}", answer.status, ask.id)),
-                Err(_) => break,
+                Err(end) => {
+                    record.note(&format!("client {k} gets nothing for {}: {end:?}", ask.id));
+                    break;
+                }
             }
             thread::sleep(Duration::from_millis(120));
         }
--- a/review/standin-2/case_pipeline.rs
+++ b/review/standin-2/case_pipeline.rs
@@ -108,7 +108,10 @@
         let bytes: Vec<u8> = (0..AT_ONCE).flat_map(|k| ask(k).bytes()).collect();
         stream.write_all(&bytes).expect("the gateway");
         let sent = record.now();
-        record.note_at(sent, &format!("client {number} has sent {AT_ONCE} requests at once"));
+        record.note_at(
+            sent,
+            &format!("client {number} has sent p{number}-0 to p{number}-{} at once", AT_ONCE - 1),
+        );
         outcomes.extend((0..AT_ONCE).map(|k| Outcome { id: ask(k).id, sent, answered: None }));
         for outcome in &mut outcomes {
             if read(&mut stream, outcome).is_err() {
@@ -119,6 +122,7 @@
         for k in 0..AT_ONCE {
             stream.write_all(&ask(k).bytes()).expect("the gateway");
             let mut outcome = Outcome { id: ask(k).id, sent: record.now(), answered: None };
+            record.note_at(outcome.sent, &format!("client {number} sends {}", outcome.id));
             let ended = read(&mut stream, &mut outcome).is_err();
             outcomes.push(outcome);
             if ended {
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -155,7 +155,10 @@
         in_hand.fetch_add(1, Ordering::SeqCst);
         thread::sleep(work);
         in_hand.fetch_sub(1, Ordering::SeqCst);
-        if answer(&mut stream, 200, once, &format!("{id} by {name}")).is_err() || once {
+        let written = answer(&mut stream, 200, once, &format!("{id} by {name}"));
+        let how = if written.is_ok() { "answers" } else { "cannot answer" };
+        record.note(&format!("server {name} {how} {id}"));
+        if written.is_err() || once {
             return;
         }
     }
