Hold a request's id and content bytes until none of its attempts is out

Cause: the id was held by the client's connection alone, but an attempt whose last byte is written outlives its client. The bytes of the content, counted against the bound for all clients, were returned at the same moment (related path). Change: OpenRequest, shared by the call and its attempts, holds both; an attempt drops it after its connection is closed or pooled, a cancelled one too. The fix works because the id's lifetime is now that of the last attempt, wherever that ends.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,15 @@
     Box::new(|request, stream| stream.write_all(&good(request)).is_ok())
 }
 
+/// Answers once told to.
+pub fn when(told: &Arc<AtomicBool>) -> Box<Act> {
+    let told = told.clone();
+    Box::new(move |request, stream| {
+        wait("the word to answer", || told.load(Ordering::SeqCst));
+        stream.write_all(&good(request)).is_ok()
+    })
+}
+
 /// A scripted server with what it saw; probes are answered beside the script.
 pub struct Server {
     pub address: SocketAddr,
@@ -336,6 +345,23 @@
     })
 }
 
+/// Longer than a failing test waits for anything: what ends before has not ended by its time.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// Settings under which no time limit ends anything while a test runs, and connections are for requests alone.
+pub fn long_settings() -> Value {
+    let mut settings = settings();
+    settings["limits"]["mayProbe"] = json!(false);
+    let long = json!(LONG.as_micros() as u64);
+    for class in [0, 1] {
+        settings["classes"][class]["deadlineUs"] = long.clone();
+        settings["classes"][class]["aimUs"] = long.clone();
+    }
+    settings["limits"]["connectTimeoutUs"] = long.clone();
+    settings["rules"]["drainGraceUs"] = long;
+    settings
+}
+
 /// An address that nothing else here binds: a loopback address of its own. Guards against another test's server that
 /// is given the port between this look and the program's start, and then answers in the program's place. The socket
 /// that looks never listens: a process started meanwhile holds a copy of it for a moment.
@@ -454,9 +480,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        TcpStream::connect(self.address).is_ok_and(|stream| {
-            Client(BufReader::new(stream)).say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n").status() == 200
-        })
+        TcpStream::connect(self.address)
+            .is_ok_and(|stream| Client(BufReader::new(stream)).say(READINESS_CHECK).status() == 200)
     }
 
     /// Kills it outright, and starts it anew at its address.
@@ -559,6 +584,8 @@
     }
 }
 
+pub const READINESS_CHECK: &[u8] = b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n";
+
 static ID: AtomicU64 = AtomicU64::new(1);
 
 /// An id that was never used.
@@ -579,6 +606,12 @@
     .into_bytes()
 }
 
+/// A request whose client waits so long.
+pub fn patient(id: &str, patience: Duration) -> Vec<u8> {
+    let text = String::from_utf8(request(id, true)).expect("text");
+    text.replace("X-Remaining-Ms: 1400", &format!("X-Remaining-Ms: {}", patience.as_millis())).into_bytes()
+}
+
 /// A client's connection.
 pub struct Client(pub BufReader<TcpStream>);
 
@@ -600,6 +633,12 @@
         read(&mut self.0).unwrap_or_default()
     }
 
+    /// Closes the connection, and waits until the gateway has seen it: it has once a client that came later is answered.
+    pub fn leave(self, gateway: &Gateway) {
+        drop(self);
+        gateway.client().say(READINESS_CHECK);
+    }
+
     pub fn answer(&mut self) -> Option<Message> {
         read(&mut self.0)
     }
--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -4,45 +4,13 @@
 
 use common::*;
 use rustix::process::Signal;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::io::Write;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longer than a failing test waits for anything: what ends before has not ended by its time.
-const LONG: Duration = Duration::from_secs(60);
-
-/// Settings under which no time limit ends anything while a test runs, and connections are for requests alone.
-fn long_settings() -> Value {
-    let mut settings = settings();
-    settings["limits"]["mayProbe"] = json!(false);
-    let long = json!(LONG.as_micros() as u64);
-    for class in [0, 1] {
-        settings["classes"][class]["deadlineUs"] = long.clone();
-        settings["classes"][class]["aimUs"] = long.clone();
-    }
-    settings["limits"]["connectTimeoutUs"] = long.clone();
-    settings["rules"]["drainGraceUs"] = long;
-    settings
-}
-
-/// A request whose client waits so long.
-fn patient(id: &str, patience: Duration) -> Vec<u8> {
-    let text = String::from_utf8(request(id, true)).expect("text");
-    text.replace("X-Remaining-Ms: 1400", &format!("X-Remaining-Ms: {}", patience.as_millis())).into_bytes()
-}
-
-/// Answers once told to.
-fn when(told: &Arc<AtomicBool>) -> Box<Act> {
-    let told = told.clone();
-    Box::new(move |request, stream| {
-        wait("the word to answer", || told.load(Ordering::SeqCst));
-        stream.write_all(&good(request)).is_ok()
-    })
-}
-
 /// Answers after a while.
 fn after(pause: Duration) -> Box<Act> {
     Box::new(move |request, stream| {
@@ -117,9 +85,7 @@
     wait("the first attempt out", || server.ids().len() == 1);
     discovery.change(vec![second.entry("s-1", "up")]);
     wait("another server known", || discovery.asked().iter().any(|a| a.contains("from=2")));
-    drop(client);
-    // The gateway has seen it leave once it has answered a client that came later.
-    gateway.client().say(b"GET /-/ready HTTP/1.1\r\nhost: x\r\n\r\n");
+    client.leave(&gateway);
     first.store(true, Ordering::SeqCst);
     let mut client = gateway.client();
     wait("served by the other", || {
--- a/crates/platform-gateway/src/front/mod.rs
+++ b/crates/platform-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod read;
 
 use crate::host::{Call, Front, Handle};
+use crate::open_requests::OpenRequest;
 use crate::permits::ConnectionPermit;
 use crate::semaphore::SemaphorePermit;
 use crate::upstream::Forward;
@@ -96,31 +97,36 @@
         let front: Arc<Front> = self.handle.shared.clone();
         let request =
             request::read(&front.site, &head, framing != Framing::Length(0)).map_err(End::Reject)?;
-        let (body, held) = self.body(&mut reader, framing).await?;
+        let (body, content_permit) = self.body(&mut reader, framing).await?;
         if self.closing.since().is_some_and(|since| Instant::now() > since + SHUTDOWN_ACCEPT_TIME) {
             return self.reject_late().await;
         }
         let arrived = self.handle.clock.now();
-        let Some(open) = front.open(request.id.clone()) else {
+        let Some(id) = front.open_ids.claim(request.id.clone()) else {
             return Err(End::Reject(Rejection { status: 409, reason: "a request with this id is open" }));
         };
         self.used = true;
         let persists = head.persists();
-        let reply = self.call(request, arrived, Forward { head, body }).await?;
-        drop(held);
+        let open_request = OpenRequest { forward: Forward { head, body }, id: id.clone(), content_permit };
+        let reply = self.call(request, arrived, open_request).await?;
         // What was read ahead is answered too.
         let close = !persists || self.closing.begun() && self.buf.is_empty();
         let mut out = Vec::new();
         let answer_bytes = answer::reply(&mut out, reply, close, &front.bytes);
         let written = self.write(&out).await;
-        // The id is free once the answer is out, not before.
-        drop((open, answer_bytes));
+        // The id is not free before the answer is out, and not while an attempt is.
+        drop((id, answer_bytes));
         written?;
         Ok(!close)
     }
 
     /// Passes a request to the engine and returns its reply, unless the client disconnects first.
-    async fn call(&mut self, caller: Request, arrived: Micros, forward: Forward) -> Result<Reply, End> {
+    async fn call(
+        &mut self,
+        caller: Request,
+        arrived: Micros,
+        open_request: OpenRequest,
+    ) -> Result<Reply, End> {
         let (reply, answer) = async_channel::bounded(1);
         let call = Call {
             call_id: self.handle.next_call_id(),
@@ -128,7 +134,7 @@
             timeout: caller.timeout,
             is_retry: caller.is_retry,
             caller,
-            forward: Arc::new(forward),
+            forward: Arc::new(open_request),
             reply,
         };
         let call_id = call.call_id;
--- a/crates/platform-gateway/src/host.rs
+++ b/crates/platform-gateway/src/host.rs
@@ -1,11 +1,12 @@
 //! The engine's host on the platform: callers are named by their requests, servers by discovery.
 
+use crate::open_requests::{OpenIds, OpenRequest};
 use crate::peers::Peers;
 use crate::permits::ConnectionPermits;
 use crate::pool::ConnectionPool;
 use crate::semaphore::Semaphore;
 use crate::server_table::ServerTable;
-use crate::upstream::{self, Forward, Times};
+use crate::upstream::{self, Times};
 use async_executor::{Executor, Task};
 use frostgauge::{Effect, ListKind, ServerId, Status};
 use frostgauge_gateway::clock::{Clock, Micros};
@@ -19,9 +20,8 @@
 use frostgauge_resource_policy::shares::{Shares, DEFAULT_MAX_IN_FLIGHT};
 use frostgauge_resource_policy::timeouts;
 use frostgauge_settings::Tenant;
-use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Handle of an engine on the platform.
@@ -49,30 +49,8 @@
     pub bytes: Semaphore,
     /// Requests can be served.
     pub ready: AtomicBool,
-    /// Ids of requests in flight.
-    ids_in_flight: Mutex<BTreeSet<Box<str>>>,
-}
-
-/// The id of a request in flight; dropping it frees the id.
-#[derive(Debug)]
-pub struct OpenId {
-    front: Arc<Front>,
-    id: Box<str>,
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.front.ids_in_flight.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
-    }
-}
-
-impl Front {
-    /// Claims a request's id; `None` if a request with this id is in flight already, perhaps a copy sent by someone
-    /// else.
-    pub fn open(self: &Arc<Self>, id: Box<str>) -> Option<OpenId> {
-        let new = self.ids_in_flight.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
-        new.then(|| OpenId { front: self.clone(), id })
-    }
+    /// Ids of open requests.
+    pub open_ids: OpenIds,
 }
 
 /// Host of an engine on the platform.
@@ -111,7 +89,7 @@
         permits: ConnectionPermits::new(shares.client_connections, shares.idle_client_connections),
         bytes: Semaphore::new(shares.body_bytes),
         ready: AtomicBool::new(false),
-        ids_in_flight: Mutex::default(),
+        open_ids: OpenIds::default(),
     };
     let (handle, inbox) = Handle::new(clock, Arc::new(front));
     let host = Platform {
@@ -155,7 +133,7 @@
 
 impl Host for Platform {
     type Caller = Request;
-    type Forward = Arc<Forward>;
+    type Forward = Arc<OpenRequest>;
     type Event = HostEvent;
     type Shared = Arc<Front>;
 
@@ -214,13 +192,15 @@
         };
         let timeout = Duration::from_micros(timeout);
         let times = Times { repeat_by: self.repeat_by(call.caller.class, ran), ..self.times(timeout) };
-        let (forward, client) = (call.forward.clone(), call.client());
+        let (open_request, client) = (call.forward.clone(), call.client());
         let (pool, front) = (self.pool.clone(), self.handle.shared.clone());
         self.executor.spawn(async move {
-            let request = |left| forward.bytes(to, left);
+            let request = |left| open_request.forward.bytes(to, left);
             let ended =
                 upstream::attempt(&pool, &front.site, (server, to), request, times, client.disconnected())
                     .await;
+            // From here on this attempt is not out any more; before, a cancelled one closes its connection first.
+            drop(open_request);
             let _ = inbox.send(Message::Ended { call_id, attempt, ended }).await;
         })
     }
