Count a request as in flight until its last attempt has ended

Cause: Gateway::close took the request off its customer's count as the client disconnected, or the answer was given, while the attempt was in flight. Change: the count goes down when the request's state is removed, after its last attempt. Evidence: attempts_of_clients_that_left_count_as_in_flight failed before (1 sent, 0 allowed) and passes; all tests of the decision library pass.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -155,17 +155,18 @@
         self.close(id);
     }
 
-    /// Finishes a request; its state is kept while an attempt is in flight.
+    /// Finishes a request. While an attempt is in flight, its state is kept and it counts as its customer's request in
+    /// flight: the client's leaving ends no attempt.
     pub(crate) fn close(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !std::mem::replace(&mut request.finished, true) {
-            if let Some(customer) = self.customers.get_mut(request.customer) {
-                customer.in_flight = customer.in_flight.saturating_sub(1);
-            }
+        request.finished = true;
+        if request.has_attempt_in_flight() {
+            return;
         }
-        if !request.has_attempt_in_flight() {
-            self.requests.remove(&id);
+        if let Some(customer) = self.customers.get_mut(request.customer) {
+            customer.in_flight = customer.in_flight.saturating_sub(1);
         }
+        self.requests.remove(&id);
     }
 
     /// Handles the end of an attempt, and retries or answers the request unless the request is finished.
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -140,3 +140,19 @@
     driver.advance_to(driver.now + 10 * S);
     assert_eq!(driver.gateway.customer_count(), 0);
 }
+
+/// Guards against clients that leave and send again, and so get more attempts in flight than their plan allows.
+#[test]
+fn attempts_of_clients_that_left_count_as_in_flight() {
+    let mut settings = settings();
+    settings.gateways = 1;
+    settings.plans[0].max_in_flight = 1;
+    let mut driver = driver(settings);
+    let (id, actions) = driver.request(0, 5, 2 * S);
+    let server = sent_to(&actions).expect("an attempt");
+    driver.handle(Event::ClientDisconnected { id });
+    assert_eq!(burst(&mut driver, 1).0, 0, "a second attempt in flight");
+    driver.end_attempt(id, 0, server, Status::Ok);
+    driver.advance_to(4 * S);
+    assert_eq!(burst(&mut driver, 1).0, 1, "nothing is in flight");
+}
