Read on while an answer is awaited, so that a client's close is always seen

Cause: a connection read ahead up to 84 KiB (4 KiB without room for more) and then waited without reading; the end of the stream, or a reset, stayed behind what was unread, and the next request was taken from the buffer without a look. Change: a connection never stops reading while an answer is awaited. It works because the end of the stream is reached however much is in front of it, also where it is still on the client's side.

--- a/crates/frostgauged/tests/common/mod.rs
+++ b/crates/frostgauged/tests/common/mod.rs
@@ -515,14 +515,20 @@
             .collect()
     }
 
-    /// Clients' connections that it has accepted.
+    /// Clients' connections that it has accepted and that stand.
     pub fn standing_connections(&self) -> usize {
+        self.client_connections(&["01"])
+    }
+
+    /// Clients' connections that it has accepted, in any of these states of the system's table (01: established, 08: closed
+    /// by the client alone).
+    pub fn client_connections(&self, states: &[&str]) -> usize {
         let own = self.sockets();
         let here = hex(self.address);
         let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
         let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
-        // This side in the second column, the state in the fourth (01: it stands), the inode in the tenth.
-        rows.filter(|r| r[1] == here && r[3] == "01" && own.iter().any(|i| i == r[9])).count()
+        // This side in the second column, the state in the fourth, the inode in the tenth.
+        rows.filter(|r| r[1] == here && states.contains(&r[3]) && own.iter().any(|i| i == r[9])).count()
     }
 
     /// From here on it opens nothing before something of its own is closed.
--- a/crates/frostgauged/tests/departures.rs
+++ b/crates/frostgauged/tests/departures.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use common::*;
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A report with so much content, whose client waits long.
 fn large(content: usize) -> Vec<u8> {
@@ -13,6 +15,115 @@
     text.replace("hail", &"h".repeat(content)).into_bytes()
 }
 
+/// So many requests, one behind the other, with their ids.
+fn in_a_row(count: usize, report: bool) -> (Vec<String>, Vec<u8>) {
+    let ids: Vec<String> = (0..count).map(|_| id()).collect();
+    let bytes = ids.iter().flat_map(|id| request(id, report)).collect();
+    (ids, bytes)
+}
+
+/// Requests that are served before a test looks for what must not have begun.
+const OTHERS: usize = 5;
+
+/// Ids that reached any of these servers.
+fn ids(servers: &[Server]) -> Vec<String> {
+    servers.iter().flat_map(Server::ids).collect()
+}
+
+/// A client whose request is at a server sends this behind it and leaves. The server turns the request away then: no further
+/// attempt at it is made, and nothing of what was sent behind it is begun.
+fn nothing_begins_after(gateway: &Gateway, servers: &[Server], behind: &[u8], leave: impl Fn(Client)) {
+    let (told, turned_away) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    for server in servers {
+        let (told, turned_away) = (told.clone(), turned_away.clone());
+        server.set(Box::new(move |_, stream| {
+            wait("the client gone", || told.load(Ordering::SeqCst));
+            let written = stream.write_all(&answer(503, "X-Turned-Away: 1\r\n", "full"));
+            turned_away.store(true, Ordering::SeqCst);
+            written.is_ok()
+        }));
+    }
+    let first = id();
+    let mut client = gateway.client();
+    client.write(&request(&first, false));
+    wait("the first at a server", || ids(servers).contains(&first));
+    // What the buffers between the two do not hold cannot be written unless it is read.
+    client.0.get_ref().set_write_timeout(Some(Duration::from_millis(100))).expect("set");
+    client.write(behind);
+    leave(client);
+    wait("the close noticed", || gateway.client_connections(&["01", "08"]) == 0);
+    let before = ids(servers);
+    servers.iter().for_each(|server| server.set(serve()));
+    told.store(true, Ordering::SeqCst);
+    wait("the first turned away", || turned_away.load(Ordering::SeqCst));
+    let mut others = Vec::new();
+    wait("others served", || {
+        others.push(id());
+        gateway.client().say(&request(&others[others.len() - 1], false));
+        ids(servers).iter().filter(|id| others.contains(id)).count() == OTHERS
+    });
+    let new: Vec<String> = ids(servers).into_iter().filter(|id| !others.contains(id)).collect();
+    assert_eq!((new.len(), new.iter().all(|id| before.contains(id))), (before.len(), true), "{new:?}");
+}
+
+/// Guards against attempts for clients whose close stands behind more than is read ahead.
+#[test]
+fn clients_that_send_hundreds_and_leave_have_no_more_attempts() {
+    let (servers, _discovery, gateway) = stage(vec![serve(), serve()]);
+    let hundreds = in_a_row(600, true).1;
+    nothing_begins_after(&gateway, &servers, &hundreds, drop);
+    nothing_begins_after(&gateway, &servers, &hundreds, |client| reset_at_close(client.0.get_ref()));
+}
+
+/// Guards against attempts for clients whose close stays on their own side, behind what was sent.
+#[test]
+fn clients_that_fill_all_buffers_and_leave_have_no_more_attempts() {
+    const MORE_THAN_ALL_BUFFERS: usize = 16 << 20;
+    let (servers, _discovery, gateway) = stage(vec![serve(), serve()]);
+    let (_, piece) = in_a_row(600, true);
+    let behind = piece.repeat(MORE_THAN_ALL_BUFFERS / piece.len());
+    nothing_begins_after(&gateway, &servers, &behind, drop);
+    let unreadable =
+        [request(&id(), true), b"GET\r\n\r\n".to_vec(), vec![b'a'; MORE_THAN_ALL_BUFFERS]].concat();
+    nothing_begins_after(&gateway, &servers, &unreadable, drop);
+}
+
+/// Guards against attempts for clients whose close is not read since nothing may be held for them.
+#[test]
+fn clients_with_no_room_to_read_ahead_have_no_more_attempts() {
+    let servers = [Server::start(serve()), Server::start(serve())];
+    let discovery = Discovery::start(vec![servers[0].entry("s-0", "up"), servers[1].entry("s-1", "up")]);
+    let gateway = Gateway::limited(&discovery, settings(), 0);
+    nothing_begins_after(&gateway, &servers, &in_a_row(60, false).1, drop);
+}
+
+/// Guards against lost or exchanged answers where more is sent ahead than is held.
+#[test]
+fn all_that_is_sent_ahead_is_answered_in_its_order() {
+    let told = Arc::new(AtomicBool::new(false));
+    let (servers, _discovery, gateway) = stage(vec![when(&told)]);
+    let (ids, bytes) = in_a_row(700, true);
+    let mut client = gateway.client();
+    client.write(&bytes);
+    wait("the first at the server", || servers[0].ids().len() == 1);
+    servers[0].set(serve());
+    told.store(true, Ordering::SeqCst);
+    let mut served = Vec::new();
+    for id in &ids {
+        let answer = client.answer().expect("an answer");
+        match answer.status() {
+            200 => {
+                assert_eq!(answer.body, format!("served {id}").into_bytes());
+                served.push(id.clone());
+            }
+            status => assert_eq!(status, 503),
+        }
+    }
+    assert!(served.len() > 1 && served.len() < ids.len(), "{} served", served.len());
+    assert_eq!(servers[0].ids(), served);
+    client.served(2);
+}
+
 /// Guards against a copy that runs beside the first attempt once the first client has gone.
 #[test]
 fn an_id_stays_taken_while_an_attempt_is_out() {
--- a/crates/frostgauged/tests/endings.rs
+++ b/crates/frostgauged/tests/endings.rs
@@ -70,6 +70,12 @@
     leave_before_their_attempts_begin(&[b"POST /".to_vec(), vec![b'a'; 30 << 10]].concat(), close);
 }
 
+#[test]
+fn clients_that_sent_hundreds_and_leave_have_no_attempt() {
+    let hundreds: Vec<u8> = (0..480).flat_map(|_| request(&id(), true)).collect();
+    leave_before_their_attempts_begin(&hundreds, close);
+}
+
 #[test]
 fn a_client_that_leaves_between_attempts_has_no_further_one() {
     let (first, second) = (Arc::new(AtomicBool::new(false)), Server::start(serve()));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,4 +13,4 @@
 pub use exchange::{exchange, exchange_by, receive, talk, End, NoLink, Plain, Pooled, Response, Way};
 pub use pool::{stands, Pool};
 pub use staff::{ask, ask_with, pages, Page, Question};
-pub use stream::{exhausted, read_some, until, Timed};
+pub use stream::{exhausted, read_arrived, read_some, until, Timed};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,10 +1,11 @@
 //! Streams: what a front or an upstream needs of a connection, TCP today.
 
-use crate::cooperation::{poll_read_budget, reset_read_budget};
-use async_io::Timer;
+use crate::cooperation::{poll_read_budget, read_budget, reset_read_budget};
+use async_io::{Async, Timer};
 use futures_lite::{ready, AsyncRead};
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, Read};
+use std::net::TcpStream;
 use std::pin::{pin, Pin};
 use std::task::Poll;
 use std::time::Instant;
@@ -63,6 +64,26 @@
     .await
 }
 
+/// Reads once and appends what came, without waiting; `None` if nothing has arrived, 0 at the end of the stream. A task that
+/// reads on and on yields from time to time.
+///
+/// # Errors
+/// Those of the stream.
+pub async fn read_arrived(stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> io::Result<Option<usize>> {
+    read_budget().await;
+    let mut piece = [0; READ];
+    match stream.get_ref().read(&mut piece) {
+        Ok(n) => {
+            buf.extend_from_slice(&piece[..n]);
+            Ok(Some(n))
+        }
+        Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Whether an error tells that this process or machine is out of descriptors, ports or memory: nothing that
 /// the other side did.
 pub fn exhausted(error: &io::Error) -> bool {
--- a/crates/platform-gateway/src/front/mod.rs
+++ b/crates/platform-gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod read;
+mod read_ahead;
 
 use crate::host::{Call, Front, Handle};
 use crate::open_requests::OpenRequest;
@@ -13,7 +14,7 @@
 use frostgauge_gateway::engine::{Message, Reply};
 use frostgauge_net::{read_some, until, Closing, Timed};
 use frostgauge_platform_protocol::request::{self, Rejection, Request};
-use frostgauge_proto::http::{BodyReader, Framing, Head, HttpError, Limits};
+use frostgauge_proto::http::{BodyReader, Framing, Head, HttpError, Limits, RequestSkipper};
 use frostgauge_resource_policy::timeouts::{
     LINGER_TIME, MAX_LINGER_BYTES, SHUTDOWN_ACCEPT_TIME, WRITE_TIMEOUT,
 };
@@ -47,8 +48,9 @@
     handle: Handle,
     closing: Closing,
     buf: Vec<u8>,
-    /// What was read ahead beyond the first piece, of the bytes that may be held for all clients.
-    ahead: Vec<SemaphorePermit>,
+    /// What is held ahead of an answer beyond the first piece, of the bytes that may be held for all clients.
+    further_pieces: Vec<SemaphorePermit>,
+    skipper: RequestSkipper,
     used: bool,
     opened: Instant,
 }
@@ -61,14 +63,15 @@
         handle,
         closing,
         buf: Vec::new(),
-        ahead: Vec::new(),
+        further_pieces: Vec::new(),
+        skipper: RequestSkipper::default(),
         used: false,
         opened: Instant::now(),
     };
     loop {
         match connection.one().await {
             // A client may send readiness checks as fast as they are answered, without a wait in between.
-            Ok(true) if !connection.buf.is_empty() => yield_now().await,
+            Ok(true) if connection.has_more() => yield_now().await,
             Ok(true) => {}
             Ok(false) => return connection.close_unread().await,
             Err(End::Close) => return,
@@ -88,6 +91,9 @@
 impl Connection {
     /// One request and its answer; whether another may follow.
     async fn one(&mut self) -> Result<bool, End> {
+        if let Some(goes_on) = self.refuse_skipped().await? {
+            return Ok(goes_on);
+        }
         let head = self.head().await?;
         let framing = head.request_framing()?;
         if head.method() == "GET" && head.target() == "/-/ready" {
@@ -110,7 +116,7 @@
         let open_request = OpenRequest { forward: Forward { head, body }, id: id.clone(), content_permit };
         let reply = self.call(request, arrived, open_request).await?;
         // What was read ahead is answered too.
-        let close = !persists || self.closing.begun() && self.buf.is_empty();
+        let close = !persists || self.closing.begun() && !self.has_more();
         let mut out = Vec::new();
         let answer_bytes = answer::reply(&mut out, reply, close, &front.bytes);
         let written = self.write(&out).await;
@@ -138,6 +144,7 @@
             reply,
         };
         let call_id = call.call_id;
+        self.catch_up().await?;
         if !self.handle.send(Message::Call(Box::new(call))).await {
             return Err(End::Close);
         }
@@ -167,7 +174,7 @@
     /// Rejects a request that was read ahead and could not be answered before shutdown ends.
     async fn reject_late(&mut self) -> Result<bool, End> {
         self.used = true;
-        let close = self.buf.is_empty();
+        let close = !self.has_more();
         let mut out = Vec::new();
         answer::own(&mut out, 503, None, close, "the process closes");
         self.write(&out).await?;
--- a/crates/platform-gateway/src/front/read.rs
+++ b/crates/platform-gateway/src/front/read.rs
@@ -1,4 +1,4 @@
-//! Reading from clients: heads, contents, and whether they are still there.
+//! Reading from clients: heads and contents.
 
 use super::{Connection, End, REQUEST};
 use crate::semaphore::SemaphorePermit;
@@ -11,29 +11,7 @@
 use futures_lite::future::or;
 use std::time::Instant;
 
-/// Bytes read ahead while an answer is awaited, and how many such pieces more where there is room: as much as the
-/// largest request.
-const AHEAD: (usize, usize) = (4 << 10, 20);
-
 impl Connection {
-    /// Waits until the client leaves: while an answer is awaited, the connection is read on.
-    pub(super) async fn left(&mut self) {
-        self.ahead.truncate(self.buf.len() / AHEAD.0);
-        loop {
-            while self.buf.len() >= AHEAD.0 * (1 + self.ahead.len()) {
-                let more = self.handle.shared.bytes.take(AHEAD.0).filter(|_| self.ahead.len() < AHEAD.1);
-                match more {
-                    Some(more) => self.ahead.push(more),
-                    None => std::future::pending().await,
-                }
-            }
-            match read_some(&mut &self.stream, &mut self.buf).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
-            }
-        }
-    }
-
     /// How long a request that has begun may take to come whole, as of now.
     fn whole(&self) -> Instant {
         if self.used {
