With a settings file, read on behind a full queue and a last request

Cause: the reader of a connection did not read while the queue of answers was full, behind a rejected request, or after 64 KiB behind the last request; the end of the stream was not reached. Change: it reads on in all three cases. Beyond 64 KiB the oldest request is skipped, and refused with 503 in its turn; a HEAD gets no content.

--- a/crates/gateway/src/front/http.rs
+++ b/crates/gateway/src/front/http.rs
@@ -4,6 +4,7 @@
 //! The end of the client's stream counts as a disconnect, even if the client closed only its sending side: its unanswered
 //! requests are reported as abandoned. To notice this at once, the reader goes on reading while responses are outstanding.
 
+use super::input::Input;
 use super::request::{parse, settings, Parsed};
 use super::response;
 use crate::core::CallId;
@@ -14,8 +15,9 @@
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use frostgauge_net::{or_closing, read_some, until, Closing, Place, Timed};
-use frostgauge_proto::http::{BodyReader, Head, HeadReader, HttpError, Limits};
+use frostgauge_proto::http::{BodyReader, Head, HeadReader, HttpError, Limits, SkipEnd, SkippedRequest};
 use frostgauge_settings::Loaded;
+use futures_lite::future::or;
 use futures_lite::AsyncWriteExt;
 use std::collections::VecDeque;
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -84,11 +86,12 @@
     let (queue, outgoing) = async_channel::bounded(pipeline);
     let reader = async {
         match connection.read(queue).await {
-            ReaderEnd::ClientGone => false,
-            ReaderEnd::LastRequest => std::future::pending().await,
+            ReaderEnd::ClientGone => {}
+            ReaderEnd::LastRequest => connection.watch_for_close().await,
         }
+        false
     };
-    let finished = futures_lite::future::or(connection.write(outgoing), reader).await;
+    let finished = or(connection.write(outgoing), reader).await;
     // The connection has ended, so that the replies to outstanding calls can no longer be delivered.
     let abandoned: Vec<CallId> =
         connection.outstanding.lock().map(|mut calls| calls.drain(..).collect()).unwrap_or_default();
@@ -121,36 +124,48 @@
     HttpAnswer::problem(408, "slow", "The request did not come whole in time", "")
 }
 
+/// The refusal of a request that was skipped.
+fn too_much_ahead_answer() -> HttpAnswer {
+    HttpAnswer::problem(503, "ahead", "Too much was sent ahead of an answer", "")
+}
+
 impl Connection {
     /// Accepts requests until the client disconnects, sends a malformed request, or asks for the connection to close.
     async fn read(&self, queue: Sender<Outgoing>) -> ReaderEnd {
-        let mut buf = Vec::new();
+        let mut input = Input::default();
         loop {
+            if let Some(end) = self.refuse_skipped(&queue, &mut input).await {
+                return end;
+            }
             let loaded = settings(&self.handle);
-            let head = match self.next_head(&mut buf, &loaded).await {
+            let head = match self.next_head(&mut input.buf, &loaded).await {
                 Ok(NextHead::Head(head)) => head,
                 Ok(NextHead::Close) => return ReaderEnd::LastRequest,
                 Ok(NextHead::ClientGone) => return ReaderEnd::ClientGone,
-                Err(answer) => return self.reject(queue, answer, false).await,
+                Err(answer) => return self.reject(&queue, answer, false).await,
             };
             let (to_head, close) = (head.method() == "HEAD", !head.persists());
             let framing =
                 match head.request_framing().and_then(|f| BodyReader::new(f, &request_limits(&loaded))) {
                     Ok(framing) => framing,
-                    Err(error) => return self.reject(queue, malformed_answer(error), to_head).await,
+                    Err(error) => return self.reject(&queue, malformed_answer(error), to_head).await,
                 };
             let parsed = parse(&loaded, &head);
             // 100 (Continue) is sent only if the head is acceptable (RFC 9110 section 10.1.1).
             if head.expects_continue() && !framing.done() {
                 match &parsed {
-                    Ok(_) => drop(queue.send(Outgoing::Continue).await),
-                    Err(answer) => return self.reject(queue, answer.clone(), to_head).await,
+                    Ok(_) => {
+                        if !self.enqueue(&queue, Outgoing::Continue, &mut input).await {
+                            return ReaderEnd::ClientGone;
+                        }
+                    }
+                    Err(answer) => return self.reject(&queue, answer.clone(), to_head).await,
                 }
             }
-            let body = match self.body(&mut buf, framing, &loaded).await {
+            let body = match self.body(&mut input.buf, framing, &loaded).await {
                 Ok(Some(body)) => body,
                 Ok(None) => return ReaderEnd::ClientGone,
-                Err(answer) => return self.reject(queue, answer, to_head).await,
+                Err(answer) => return self.reject(&queue, answer, to_head).await,
             };
             let close = close || self.closing.begun();
             let next = match parsed {
@@ -158,21 +173,60 @@
                 Err(answer) => Some(Outgoing::Answer { answer, to_head, close }),
             };
             let Some(next) = next else { return ReaderEnd::ClientGone };
-            if queue.send(next).await.is_err() {
+            if !self.enqueue(&queue, next, &mut input).await {
                 return ReaderEnd::ClientGone;
             }
             if close {
-                drop(queue);
-                return self.watch_for_close().await;
+                return ReaderEnd::LastRequest;
             }
         }
     }
 
+    /// Queues an entry for the writer, and reads on as long as the queue is full; false once the client has disconnected.
+    async fn enqueue(&self, queue: &Sender<Outgoing>, next: Outgoing, input: &mut Input) -> bool {
+        let limits = request_limits(&settings(&self.handle));
+        let queued = async { queue.send(next).await.is_ok() };
+        let disconnected = async {
+            input.read_until_close(&self.stream, &limits).await;
+            false
+        };
+        or(queued, disconnected).await
+    }
+
+    /// Queues the refusals of skipped requests. `None`: what is in the buffer follows them and can be served.
+    async fn refuse_skipped(&self, queue: &Sender<Outgoing>, input: &mut Input) -> Option<ReaderEnd> {
+        while let Some(SkippedRequest { to_head }) = input.skipper.take_unanswered() {
+            let is_last = !input.skipper.has_unanswered();
+            let close = is_last && input.skipper.end() == Some(SkipEnd::ConnectionClose);
+            metrics::counter!("frostgauge_turned_away", "status" => "503").increment(1);
+            let refusal = Outgoing::Answer { answer: too_much_ahead_answer(), to_head, close };
+            if !self.enqueue(queue, refusal, input).await {
+                return Some(ReaderEnd::ClientGone);
+            }
+            if close {
+                return Some(ReaderEnd::LastRequest);
+            }
+        }
+        let answer = match input.skipper.end()? {
+            SkipEnd::ConnectionClose => return Some(ReaderEnd::LastRequest),
+            SkipEnd::Malformed(error) => malformed_answer(error),
+            SkipEnd::Incomplete | SkipEnd::TooMany => too_much_ahead_answer(),
+        };
+        Some(self.reject(queue, answer, false).await)
+    }
+
     /// Queues an answer that rejects a request; the connection closes after it.
-    async fn reject(&self, queue: Sender<Outgoing>, answer: HttpAnswer, to_head: bool) -> ReaderEnd {
+    async fn reject(&self, queue: &Sender<Outgoing>, answer: HttpAnswer, to_head: bool) -> ReaderEnd {
         metrics::counter!("frostgauge_turned_away", "status" => answer.status.to_string()).increment(1);
-        let _ = queue.send(Outgoing::Answer { answer, to_head, close: true }).await;
-        ReaderEnd::LastRequest
+        let queued = async {
+            let _ = queue.send(Outgoing::Answer { answer, to_head, close: true }).await;
+            ReaderEnd::LastRequest
+        };
+        let disconnected = async {
+            self.watch_for_close().await;
+            ReaderEnd::ClientGone
+        };
+        or(queued, disconnected).await
     }
 
     /// Waits for the head of the next request.
@@ -281,16 +335,16 @@
         sent.then_some(Outgoing::Reply { call_id, reply: answer, scope, to_head, close })
     }
 
-    /// Reads and discards after the last request, in order to notice a disconnect of the client.
-    async fn watch_for_close(&self) -> ReaderEnd {
+    /// Reads and discards after the last request, until the client disconnects while calls are outstanding.
+    async fn watch_for_close(&self) {
         let mut discarded = Vec::new();
-        while discarded.len() < MAX_LINGER_BYTES {
-            match read_some(&mut &self.stream, &mut discarded).await {
-                Ok(0) | Err(_) => return ReaderEnd::ClientGone,
-                Ok(_) => {}
-            }
+        while !matches!(read_some(&mut &self.stream, &mut discarded).await, Ok(0) | Err(_)) {
+            discarded.clear();
+        }
+        if self.outstanding.lock().is_ok_and(|calls| calls.is_empty()) {
+            // The writer ends by itself; what it still writes is the answer to a request that began no call.
+            std::future::pending().await
         }
-        ReaderEnd::LastRequest
     }
 
     /// Sends the responses in order; true once all are sent and the connection can be closed normally, false if it broke.
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -2,5 +2,6 @@
 //! of its protocol; whether and where a request is sent is decided by the engine alone.
 
 pub mod http;
+mod input;
 mod request;
 mod response;
--- a/crates/platform-gateway/src/front/read_ahead.rs
+++ b/crates/platform-gateway/src/front/read_ahead.rs
@@ -76,7 +76,7 @@
     /// # Errors
     /// What was sent behind the skipped requests cannot be served.
     pub(super) async fn refuse_skipped(&mut self) -> Result<Option<bool>, End> {
-        if !self.skipper.take_unanswered() {
+        if self.skipper.take_unanswered().is_none() {
             return self.skipper.end().map_or(Ok(None), |end| Err(end.into()));
         }
         let closes = self.skipper.end() == Some(SkipEnd::ConnectionClose);
--- a/crates/proto/src/http/mod.rs
+++ b/crates/proto/src/http/mod.rs
@@ -8,7 +8,7 @@
 
 pub use body::{BodyReader, Framing};
 pub use head::{Head, HeadReader, Start};
-pub use skip::{RequestSkipper, SkipEnd, MAX_SKIPPED_REQUESTS};
+pub use skip::{RequestSkipper, SkipEnd, SkippedRequest, MAX_SKIPPED_REQUESTS};
 pub use write::{reason, write_request, write_response, Body};
 
 /// Bounds on what a peer may send.
--- a/crates/proto/src/http/skip.rs
+++ b/crates/proto/src/http/skip.rs
@@ -5,6 +5,7 @@
 //! their turn comes.
 
 use super::{BodyReader, Head, HeadReader, HttpError, Limits};
+use std::collections::VecDeque;
 
 /// Requests that may be skipped before the first of them is answered. What follows is discarded unparsed, so that a client
 /// that never stops sending costs little.
@@ -23,18 +24,26 @@
     ConnectionClose,
 }
 
+/// A request that was skipped whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SkippedRequest {
+    /// Whether its method is HEAD, so that its answer has no content.
+    pub to_head: bool,
+}
+
 /// A request whose head is skipped, and its content in part.
 #[derive(Debug)]
 struct PartialRequest {
+    request: SkippedRequest,
     content: BodyReader,
     persists: bool,
 }
 
-/// Skips requests of one connection, and counts those that are still to be answered.
+/// Skips requests of one connection, and keeps which of them are still to be answered.
 #[derive(Debug, Default)]
 pub struct RequestSkipper {
     partial: Option<PartialRequest>,
-    unanswered: usize,
+    unanswered: VecDeque<SkippedRequest>,
     end: Option<SkipEnd>,
 }
 
@@ -60,16 +69,14 @@
         }
     }
 
-    /// Takes one skipped request that is to be answered; false if there is none.
-    pub fn take_unanswered(&mut self) -> bool {
-        let is_some = self.unanswered > 0;
-        self.unanswered -= usize::from(is_some);
-        is_some
+    /// Takes the oldest skipped request that is still to be answered.
+    pub fn take_unanswered(&mut self) -> Option<SkippedRequest> {
+        self.unanswered.pop_front()
     }
 
     /// Whether answers are due before the next request in the buffer may be served.
     pub fn has_unanswered(&self) -> bool {
-        self.unanswered > 0
+        !self.unanswered.is_empty()
     }
 
     /// Why nothing can be served behind the skipped requests; `None` if what is in the buffer follows them.
@@ -94,7 +101,7 @@
             self.partial = Some(request);
             return Ok(true);
         }
-        self.unanswered += 1;
+        self.unanswered.push_back(request.request);
         if request.persists {
             Ok(true)
         } else {
@@ -107,13 +114,14 @@
         let Some(length) = HeadReader::default().push(buf, limits).map_err(SkipEnd::Malformed)? else {
             return Ok(None);
         };
-        if self.unanswered == MAX_SKIPPED_REQUESTS {
+        if self.unanswered.len() == MAX_SKIPPED_REQUESTS {
             return Err(SkipEnd::TooMany);
         }
         let head = Head::request(&buf[..length]).map_err(SkipEnd::Malformed)?;
         let framing = head.request_framing().map_err(SkipEnd::Malformed)?;
         let content = BodyReader::new(framing, limits).map_err(SkipEnd::Malformed)?;
         buf.drain(..length);
-        Ok(Some(PartialRequest { content, persists: head.persists() }))
+        let request = SkippedRequest { to_head: head.method() == "HEAD" };
+        Ok(Some(PartialRequest { request, content, persists: head.persists() }))
     }
 }
--- a/crates/proto/tests/skip.rs
+++ b/crates/proto/tests/skip.rs
@@ -20,7 +20,7 @@
 }
 
 fn unanswered(skipper: &mut RequestSkipper) -> usize {
-    std::iter::from_fn(|| skipper.take_unanswered().then_some(())).count()
+    std::iter::from_fn(|| skipper.take_unanswered()).count()
 }
 
 #[test]
@@ -66,3 +66,12 @@
     assert_eq!((left.len(), skipper.end()), (0, Some(SkipEnd::ConnectionClose)));
     assert_eq!(unanswered(&mut skipper), 2);
 }
+
+#[test]
+fn skipped_requests_keep_whether_their_answers_have_content() {
+    let head = b"HEAD /a HTTP/1.1\r\nhost: x\r\n\r\n";
+    let (mut skipper, _) = skip_all(&[READ, head, REPORT].concat(), 30);
+    let to_head: Vec<bool> =
+        std::iter::from_fn(|| skipper.take_unanswered()).map(|skipped| skipped.to_head).collect();
+    assert_eq!(to_head, [false, true, false]);
+}
