--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -155,8 +155,8 @@
         self.close(id);
     }
 
-    /// Finishes a request. While an attempt is in flight, the request's state is kept and it counts as in flight
-    /// for its customer: a client that leaves ends no attempt.
+    /// Finishes a request. While an attempt is in flight, the request's state is kept and it counts as in
+    /// flight for its customer: a client that leaves ends no attempt.
     pub(crate) fn close(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.finished = true;
