Bound what comes behind a request: beyond 1 MiB it is not waited for

Change: skipping moves the buffer once, and pauses for 0.5 ms; refusals are written 4 KiB at a time; a client that has sent over 1 MiB behind a request is not waited for: the request is answered at once (502, or 503 if it was not passed on), and the connection closes after the refusals.

--- a/crates/frostgauged/tests/departures.rs
+++ b/crates/frostgauged/tests/departures.rs
@@ -124,6 +124,29 @@
     client.served(2);
 }
 
+/// Guards against a client that sends without an end, and takes the gateway's time from everyone else.
+#[test]
+fn a_client_that_sends_far_too_much_ahead_is_answered_and_closed() {
+    const MORE_THAN_IS_READ: usize = (1 << 20) + (40 << 10);
+    let told = Arc::new(AtomicBool::new(false));
+    let (servers, _discovery, gateway) = stage(vec![when(&told)]);
+    let (_, piece) = in_a_row(100, true);
+    let mut client = gateway.client();
+    client.write(&request(&id(), true));
+    wait("the first at the server", || servers[0].ids().len() == 1);
+    client.write(&piece.repeat(MORE_THAN_IS_READ / piece.len()));
+    assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
+    let mut refused = 0;
+    while let Some(answer) = client.answer() {
+        assert_eq!(answer.status(), 503);
+        refused += 1;
+    }
+    assert!((1_000..2_000).contains(&refused), "{refused} refused");
+    told.store(true, Ordering::SeqCst);
+    gateway.client().served(3);
+    assert_eq!(servers[0].ids().len(), 4);
+}
+
 /// Guards against a copy that runs beside the first attempt once the first client has gone.
 #[test]
 fn an_id_stays_taken_while_an_attempt_is_out() {
--- a/crates/gateway/src/front/input.rs
+++ b/crates/gateway/src/front/input.rs
@@ -3,6 +3,7 @@
 use async_io::Async;
 use frostgauge_net::read_some;
 use frostgauge_proto::http::{Limits, RequestSkipper};
+use futures_lite::future::yield_now;
 use std::net::TcpStream;
 
 /// Bytes held while the queue of answers is full; beyond them the oldest request is skipped and refused.
@@ -21,7 +22,9 @@
     pub async fn read_until_close(&mut self, stream: &Async<TcpStream>, limits: &Limits) {
         loop {
             self.skipper.discard_unusable(&mut self.buf);
-            while self.buf.len() >= MAX_READ_AHEAD_BYTES && self.skipper.skip(&mut self.buf, limits) {}
+            if self.skipper.skip(&mut self.buf, MAX_READ_AHEAD_BYTES, limits) > 0 {
+                yield_now().await;
+            }
             if matches!(read_some(&mut &*stream, &mut self.buf).await, Ok(0) | Err(_)) {
                 return;
             }
--- a/crates/platform-gateway/src/front/mod.rs
+++ b/crates/platform-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod read;
 mod read_ahead;
 
+use self::read_ahead::{GivenUp, TOO_MUCH_AHEAD};
 use crate::host::{Call, Front, Handle};
 use crate::open_requests::OpenRequest;
 use crate::permits::ConnectionPermit;
@@ -36,6 +37,14 @@
     Reject(Rejection),
 }
 
+/// How a call ended.
+enum Outcome {
+    /// With the engine's reply.
+    Reply(Reply),
+    /// The client has sent too much behind the request, which is answered with this status.
+    GivenUp { status: u16 },
+}
+
 impl From<HttpError> for End {
     fn from(error: HttpError) -> End {
         End::Reject(Rejection { status: error.status(), reason: "the request cannot be read" })
@@ -114,11 +123,17 @@
         self.used = true;
         let persists = head.persists();
         let open_request = OpenRequest { forward: Forward { head, body }, id: id.clone(), content_permit };
-        let reply = self.call(request, arrived, open_request).await?;
+        let outcome = self.call(request, arrived, open_request).await?;
         // What was read ahead is answered too.
         let close = !persists || self.closing.begun() && !self.has_more();
         let mut out = Vec::new();
-        let answer_bytes = answer::reply(&mut out, reply, close, &front.bytes);
+        let answer_bytes = match outcome {
+            Outcome::Reply(reply) => answer::reply(&mut out, reply, close, &front.bytes),
+            Outcome::GivenUp { status } => {
+                answer::own(&mut out, status, None, close, TOO_MUCH_AHEAD);
+                None
+            }
+        };
         let written = self.write(&out).await;
         // The id is not free before the answer is out, and not while an attempt is.
         drop((id, answer_bytes));
@@ -126,16 +141,23 @@
         Ok(!close)
     }
 
-    /// Passes a request to the engine and returns its reply, unless the client disconnects first.
+    /// Passes a request to the engine and returns its reply, unless the client disconnects or sends too much before.
     async fn call(
         &mut self,
         caller: Request,
         arrived: Micros,
         open_request: OpenRequest,
-    ) -> Result<Reply, End> {
+    ) -> Result<Outcome, End> {
+        match self.catch_up().await {
+            None => {}
+            Some(GivenUp::Disconnected) => return Err(End::Close),
+            // A retry does no harm: nothing has run.
+            Some(GivenUp::TooFarAhead) => return Ok(Outcome::GivenUp { status: 503 }),
+        }
         let (reply, answer) = async_channel::bounded(1);
+        let call_id = self.handle.next_call_id();
         let call = Call {
-            call_id: self.handle.next_call_id(),
+            call_id,
             arrived,
             timeout: caller.timeout,
             is_retry: caller.is_retry,
@@ -143,22 +165,24 @@
             forward: Arc::new(open_request),
             reply,
         };
-        let call_id = call.call_id;
-        self.catch_up().await?;
         if !self.handle.send(Message::Call(Box::new(call))).await {
             return Err(End::Close);
         }
-        let left = async {
-            self.left().await;
-            None
+        // The engine answers every call; without an engine there is nobody to answer.
+        let reply = async { answer.recv().await.map_err(|_| GivenUp::Disconnected) };
+        let given_up = async { Err(self.given_up().await) };
+        let given_up = match or(reply, given_up).await {
+            Ok(reply) => return Ok(Outcome::Reply(reply)),
+            Err(given_up) => given_up,
         };
-        if let Some(reply) = or(async { answer.recv().await.ok() }, left).await {
-            return Ok(reply);
-        }
         // Attempts that have not begun end by this, before the engine receives the message.
         drop(answer);
         self.handle.send(Message::ClientDisconnected(call_id)).await;
-        Err(End::Close)
+        match given_up {
+            GivenUp::Disconnected => Err(End::Close),
+            // It may have run.
+            GivenUp::TooFarAhead => Ok(Outcome::GivenUp { status: 502 }),
+        }
     }
 
     /// Answers a readiness check.
--- a/crates/platform-gateway/src/front/read_ahead.rs
+++ b/crates/platform-gateway/src/front/read_ahead.rs
@@ -2,18 +2,35 @@
 //! until it has no more to read. What there is no room for is skipped, and refused in its turn.
 
 use super::{answer, Connection, End, REQUEST};
+use async_io::Timer;
 use frostgauge_net::{read_arrived, read_some};
 use frostgauge_platform_protocol::request::Rejection;
 use frostgauge_proto::http::SkipEnd;
+use std::time::Duration;
 
 /// Bytes that each connection may hold ahead of an answer, and the size of each further piece, bytes.
 const READ_AHEAD_BYTES: usize = 4 << 10;
 /// Further pieces for a connection, out of the bytes that may be held for all clients: as much as the largest request.
 const MAX_FURTHER_PIECES: usize = 20;
-/// Bytes that are read behind a request before it is passed on; a client that has sent more is not seen to be there.
-const MAX_UNREAD_BYTES: usize = 1 << 20;
+/// Bytes that may come behind a request while it is here. A client that sends more is not waited for: the end of its stream
+/// may be behind any number of bytes, and reading them takes time from everyone else.
+const MAX_BYTES_BEHIND: usize = 1 << 20;
+/// Pause after requests were skipped: a client that sends as fast as it is read leaves the thread to others, and
+/// [`MAX_BYTES_BEHIND`] are read well within 0.1 s.
+const SKIP_PAUSE: Duration = Duration::from_micros(500);
+/// Bytes of refusals that are written at once.
+const REFUSALS_BYTES: usize = 4 << 10;
 /// The reason given where a client has sent more ahead of its answers than is held.
-const TOO_MUCH_AHEAD: &str = "too much was sent ahead of an answer";
+pub(super) const TOO_MUCH_AHEAD: &str = "too much was sent ahead of an answer";
+
+/// Why the answer to a request is not waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GivenUp {
+    /// The client has disconnected.
+    Disconnected,
+    /// The client has sent more than [`MAX_BYTES_BEHIND`].
+    TooFarAhead,
+}
 
 impl From<SkipEnd> for End {
     fn from(end: SkipEnd) -> End {
@@ -28,61 +45,73 @@
 }
 
 impl Connection {
-    /// Waits until the client leaves.
-    pub(super) async fn left(&mut self) {
+    /// Waits until the answer is not to be waited for any more.
+    pub(super) async fn given_up(&mut self) -> GivenUp {
+        let mut bytes_behind = 0;
         loop {
-            self.make_room();
-            if matches!(read_some(&mut &self.stream, &mut self.buf).await, Ok(0) | Err(_)) {
-                return;
+            self.make_room().await;
+            match read_some(&mut &self.stream, &mut self.buf).await {
+                Ok(0) | Err(_) => return GivenUp::Disconnected,
+                Ok(n) => bytes_behind += n,
+            }
+            if bytes_behind > MAX_BYTES_BEHIND {
+                self.skipper.give_up(&mut self.buf);
+                return GivenUp::TooFarAhead;
             }
         }
     }
 
-    /// Reads what has arrived, so that nothing begins for a client that left while its request waited here.
-    ///
-    /// # Errors
-    /// The client has left, or may have behind more than [`MAX_UNREAD_BYTES`]; the request is refused then.
-    pub(super) async fn catch_up(&mut self) -> Result<(), End> {
+    /// Reads what has arrived, so that nothing begins for a client that left while its request waited here. `None` if the
+    /// request may be passed on.
+    pub(super) async fn catch_up(&mut self) -> Option<GivenUp> {
         self.further_pieces.truncate(self.buf.len() / READ_AHEAD_BYTES);
-        let mut bytes_read = 0;
-        while bytes_read < MAX_UNREAD_BYTES {
-            self.make_room();
+        let mut bytes_behind = 0;
+        while bytes_behind <= MAX_BYTES_BEHIND {
+            self.make_room().await;
             match read_arrived(&self.stream, &mut self.buf).await {
-                Ok(None) => return Ok(()),
-                Ok(Some(0)) | Err(_) => return Err(End::Close),
-                Ok(Some(n)) => bytes_read += n,
+                Ok(None) => return None,
+                Ok(Some(0)) | Err(_) => return Some(GivenUp::Disconnected),
+                Ok(Some(n)) => bytes_behind += n,
             }
         }
-        Err(SkipEnd::TooMany.into())
+        self.skipper.give_up(&mut self.buf);
+        Some(GivenUp::TooFarAhead)
     }
 
-    /// Makes room for more: another piece, or else that of the oldest request that was sent ahead.
-    fn make_room(&mut self) {
+    /// Makes room for more: further pieces, or else that of the oldest requests that were sent ahead.
+    async fn make_room(&mut self) {
         self.skipper.discard_unusable(&mut self.buf);
-        while self.buf.len() >= READ_AHEAD_BYTES * (1 + self.further_pieces.len()) {
-            let has_pieces = self.further_pieces.len() < MAX_FURTHER_PIECES;
-            let piece = has_pieces.then(|| self.handle.shared.bytes.take(READ_AHEAD_BYTES)).flatten();
-            match piece {
+        while self.buf.len() >= self.held_bytes() && self.further_pieces.len() < MAX_FURTHER_PIECES {
+            match self.handle.shared.bytes.take(READ_AHEAD_BYTES) {
                 Some(piece) => self.further_pieces.push(piece),
-                // A head that is not complete stays: it is bounded.
-                None if !self.skipper.skip(&mut self.buf, &REQUEST) => return,
-                None => {}
+                None => break,
             }
         }
+        let held_bytes = self.held_bytes();
+        if self.skipper.skip(&mut self.buf, held_bytes, &REQUEST) > 0 {
+            Timer::after(SKIP_PAUSE).await;
+        }
+    }
+
+    /// Bytes that the connection may hold now.
+    fn held_bytes(&self) -> usize {
+        READ_AHEAD_BYTES * (1 + self.further_pieces.len())
     }
 
-    /// Refuses the oldest skipped request; whether another may follow. `None` if there is none.
+    /// Refuses skipped requests, as many as are written at once; whether the connection goes on. `None` if there are none.
     ///
     /// # Errors
     /// What was sent behind the skipped requests cannot be served.
     pub(super) async fn refuse_skipped(&mut self) -> Result<Option<bool>, End> {
-        if self.skipper.take_unanswered().is_none() {
+        let (mut out, mut close) = (Vec::new(), false);
+        while out.len() < REFUSALS_BYTES && self.skipper.take_unanswered().is_some() {
+            let closes = self.skipper.end() == Some(SkipEnd::ConnectionClose);
+            close = !self.skipper.has_unanswered() && closes || self.closing.begun() && !self.has_more();
+            answer::own(&mut out, 503, None, close, TOO_MUCH_AHEAD);
+        }
+        if out.is_empty() {
             return self.skipper.end().map_or(Ok(None), |end| Err(end.into()));
         }
-        let closes = self.skipper.end() == Some(SkipEnd::ConnectionClose);
-        let close = !self.skipper.has_unanswered() && closes || self.closing.begun() && !self.has_more();
-        let mut out = Vec::new();
-        answer::own(&mut out, 503, None, close, TOO_MUCH_AHEAD);
         self.write(&out).await?;
         Ok(Some(!close))
     }
--- a/crates/proto/src/http/skip.rs
+++ b/crates/proto/src/http/skip.rs
@@ -18,7 +18,7 @@
     Malformed(HttpError),
     /// The content of the request behind them has not come whole; its beginning is not kept.
     Incomplete,
-    /// There are more than [`MAX_SKIPPED_REQUESTS`].
+    /// There are more than [`MAX_SKIPPED_REQUESTS`], or too many bytes.
     TooMany,
     /// The last of them announced the end of the connection.
     ConnectionClose,
@@ -48,18 +48,31 @@
 }
 
 impl RequestSkipper {
-    /// Skips the oldest request in `buf`, or as much of it as is there. False if that is nothing, since its head is not
-    /// complete. Once nothing can be served behind the skipped requests, all of `buf` is discarded.
-    pub fn skip(&mut self, buf: &mut Vec<u8>, limits: &Limits) -> bool {
-        match self.skip_request(buf, limits) {
-            Ok(progress) => progress,
-            Err(end) => {
-                self.partial = None;
-                self.end = Some(end);
-                buf.clear();
-                true
+    /// Skips the oldest requests in `buf`, up to the one with which less than `target` bytes are left. More are left only
+    /// where a head is not complete. Once nothing can be served behind the skipped requests, all of `buf` is discarded.
+    /// Returns the number of bytes that are gone from `buf`.
+    pub fn skip(&mut self, buf: &mut Vec<u8>, target: usize, limits: &Limits) -> usize {
+        let mut skipped = 0;
+        while buf.len() - skipped >= target {
+            match self.skip_request(&buf[skipped..], limits) {
+                Ok(0) => break,
+                Ok(length) => skipped += length,
+                Err(end) => {
+                    self.partial = None;
+                    self.end = Some(end);
+                    skipped = buf.len();
+                }
             }
         }
+        buf.drain(..skipped);
+        skipped
+    }
+
+    /// Discards what is in the buffer and all that follows: nothing more is served than the skipped requests are refused.
+    pub fn give_up(&mut self, buf: &mut Vec<u8>) {
+        self.partial = None;
+        self.end.get_or_insert(SkipEnd::TooMany);
+        buf.clear();
     }
 
     /// Discards what came in if nothing can be served behind the skipped requests.
@@ -84,44 +97,43 @@
         self.end.or(self.partial.as_ref().map(|_| SkipEnd::Incomplete))
     }
 
-    fn skip_request(&mut self, buf: &mut Vec<u8>, limits: &Limits) -> Result<bool, SkipEnd> {
+    /// Skips one request, or as much of it as is there; how many bytes of `input` that is.
+    fn skip_request(&mut self, input: &[u8], limits: &Limits) -> Result<usize, SkipEnd> {
         if let Some(end) = self.end {
             return Err(end);
         }
-        let mut request = match self.partial.take() {
-            Some(request) => request,
-            None => match self.skip_head(buf, limits)? {
-                Some(request) => request,
-                None => return Ok(false),
+        let (mut request, head_length) = match self.partial.take() {
+            Some(request) => (request, 0),
+            None => match self.read_head(input, limits)? {
+                Some(head) => head,
+                None => return Ok(0),
             },
         };
-        let length = request.content.push(buf, &mut Vec::new()).map_err(SkipEnd::Malformed)?;
-        buf.drain(..length);
+        let rest = &input[head_length..];
+        let content_length = request.content.push(rest, &mut Vec::new()).map_err(SkipEnd::Malformed)?;
         if !request.content.done() {
             self.partial = Some(request);
-            return Ok(true);
-        }
-        self.unanswered.push_back(request.request);
-        if request.persists {
-            Ok(true)
         } else {
-            Err(SkipEnd::ConnectionClose)
+            self.unanswered.push_back(request.request);
+            if !request.persists {
+                return Err(SkipEnd::ConnectionClose);
+            }
         }
+        Ok(head_length + content_length)
     }
 
-    /// Skips a request's head; `None` if it is not complete.
-    fn skip_head(&self, buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<PartialRequest>, SkipEnd> {
-        let Some(length) = HeadReader::default().push(buf, limits).map_err(SkipEnd::Malformed)? else {
+    /// Reads a request's head, and its length; `None` if it is not complete.
+    fn read_head(&self, input: &[u8], limits: &Limits) -> Result<Option<(PartialRequest, usize)>, SkipEnd> {
+        let Some(length) = HeadReader::default().push(input, limits).map_err(SkipEnd::Malformed)? else {
             return Ok(None);
         };
         if self.unanswered.len() == MAX_SKIPPED_REQUESTS {
             return Err(SkipEnd::TooMany);
         }
-        let head = Head::request(&buf[..length]).map_err(SkipEnd::Malformed)?;
+        let head = Head::request(&input[..length]).map_err(SkipEnd::Malformed)?;
         let framing = head.request_framing().map_err(SkipEnd::Malformed)?;
         let content = BodyReader::new(framing, limits).map_err(SkipEnd::Malformed)?;
-        buf.drain(..length);
         let request = SkippedRequest { to_head: head.method() == "HEAD" };
-        Ok(Some(PartialRequest { request, content, persists: head.persists() }))
+        Ok(Some((PartialRequest { request, content, persists: head.persists() }, length)))
     }
 }
--- a/crates/proto/tests/skip.rs
+++ b/crates/proto/tests/skip.rs
@@ -14,7 +14,7 @@
     for piece in bytes.chunks(piece) {
         skipper.discard_unusable(&mut buf);
         buf.extend_from_slice(piece);
-        while !buf.is_empty() && skipper.skip(&mut buf, &LIMITS) {}
+        skipper.skip(&mut buf, 1, &LIMITS);
     }
     (skipper, buf)
 }
@@ -75,3 +75,12 @@
         std::iter::from_fn(|| skipper.take_unanswered()).map(|skipped| skipped.to_head).collect();
     assert_eq!(to_head, [false, true, false]);
 }
+
+#[test]
+fn as_many_are_skipped_as_make_room() {
+    let mut skipper = RequestSkipper::default();
+    let mut buf = READ.repeat(10);
+    skipper.skip(&mut buf, 4 * READ.len(), &LIMITS);
+    assert_eq!(buf, READ.repeat(3));
+    assert_eq!(unanswered(&mut skipper), 7);
+}
