--- a/crates/platform-gateway/src/front/mod.rs
+++ b/crates/platform-gateway/src/front/mod.rs
@@ -6,7 +6,7 @@
 
 use self::read_ahead::{GivenUp, TOO_MUCH_AHEAD};
 use crate::host::{Call, Front, Handle};
-use crate::open_requests::OpenRequest;
+use crate::open_requests::{OpenId, OpenRequest};
 use crate::permits::ConnectionPermit;
 use crate::semaphore::SemaphorePermit;
 use crate::upstream::Forward;
@@ -78,7 +78,7 @@
         opened: Instant::now(),
     };
     loop {
-        match connection.one().await {
+        match connection.next_request().await {
             // A client may send readiness checks as fast as they are answered, without a wait in between.
             Ok(true) if connection.has_more() => yield_now().await,
             Ok(true) => {}
@@ -98,8 +98,8 @@
 }
 
 impl Connection {
-    /// One request and its answer; whether another may follow.
-    async fn one(&mut self) -> Result<bool, End> {
+    /// Reads a request and answers it; whether another may follow.
+    async fn next_request(&mut self) -> Result<bool, End> {
         if let Some(goes_on) = self.refuse_skipped().await? {
             return Ok(goes_on);
         }
@@ -124,20 +124,23 @@
         let persists = head.persists();
         let open_request = OpenRequest { forward: Forward { head, body }, id: id.clone(), content_permit };
         let outcome = self.call(request, arrived, open_request).await?;
+        self.answer(outcome, persists, id).await
+    }
+
+    /// Answers a request; whether another may follow. The id is not free before the answer is out, and not while an
+    /// attempt is.
+    async fn answer(&self, outcome: Outcome, persists: bool, _id: Arc<OpenId>) -> Result<bool, End> {
         // What was read ahead is answered too.
         let close = !persists || self.closing.begun() && !self.has_more();
         let mut out = Vec::new();
-        let answer_bytes = match outcome {
-            Outcome::Reply(reply) => answer::reply(&mut out, reply, close, &front.bytes),
+        let _held_bytes = match outcome {
+            Outcome::Reply(reply) => answer::reply(&mut out, reply, close, &self.handle.shared.bytes),
             Outcome::GivenUp { status } => {
                 answer::own(&mut out, status, None, close, TOO_MUCH_AHEAD);
                 None
             }
         };
-        let written = self.write(&out).await;
-        // The id is not free before the answer is out, and not while an attempt is.
-        drop((id, answer_bytes));
-        written?;
+        self.write(&out).await?;
         Ok(!close)
     }
 
--- a/crates/platform-gateway/src/front/read.rs
+++ b/crates/platform-gateway/src/front/read.rs
@@ -12,8 +12,8 @@
 use std::time::Instant;
 
 impl Connection {
-    /// How long a request that has begun may take to come whole, as of now.
-    fn whole(&self) -> Instant {
+    /// When a request of which the first byte comes now is to be complete.
+    fn request_deadline(&self) -> Instant {
         if self.used {
             Instant::now() + REQUEST_TIMEOUT
         } else {
@@ -21,13 +21,13 @@
         }
     }
 
-    /// The limit of a request that has begun: during shutdown it is to be complete early enough to be answered.
-    fn before_end(&self, limit: Instant) -> Instant {
+    /// The deadline of a request that has begun: during shutdown it is to be complete early enough to be answered.
+    fn shutdown_deadline(&self, limit: Instant) -> Instant {
         self.closing.since().map_or(limit, |since| limit.min(since + SHUTDOWN_ACCEPT_TIME))
     }
 
     /// The rejection of a request that was not complete in time.
-    fn late(&self) -> End {
+    fn timeout_rejection(&self) -> End {
         End::Reject(if self.closing.begun() {
             Rejection { status: 503, reason: "the process closes" }
         } else {
@@ -40,7 +40,7 @@
         let mut reader = HeadReader::default();
         let mut begun = !self.buf.is_empty();
         let mut deadline = match (self.used, begun) {
-            (false, _) | (true, true) => self.whole(),
+            (false, _) | (true, true) => self.request_deadline(),
             (true, false) => Instant::now() + CLIENT_IDLE_TIMEOUT,
         };
         let mut closing = self.closing.begun();
@@ -55,9 +55,9 @@
             }
             if !begun && !self.buf.is_empty() {
                 begun = true;
-                deadline = self.whole();
+                deadline = self.request_deadline();
             }
-            let limit = if begun { self.before_end(deadline) } else { deadline };
+            let limit = if begun { self.shutdown_deadline(deadline) } else { deadline };
             let idle = self.permit.idle(self.used);
             let (stream, buf) = (&self.stream, &mut self.buf);
             let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
@@ -78,7 +78,7 @@
                 }
                 Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
                 Some(Timed::Done(Ok(_))) => {}
-                Some(Timed::Late) if begun => return Err(self.late()),
+                Some(Timed::Late) if begun => return Err(self.timeout_rejection()),
                 Some(Timed::Late) => return Err(End::Close),
             }
         }
@@ -101,7 +101,7 @@
         if held.is_none() {
             return Err(End::Reject(Rejection { status: 503, reason: "no room for the content" }));
         }
-        let deadline = self.whole();
+        let deadline = self.request_deadline();
         let mut body = Vec::new();
         loop {
             let taken = reader.push(&self.buf, &mut body)?;
@@ -109,7 +109,7 @@
             if reader.done() {
                 return Ok((body, held));
             }
-            let (limit, closing) = (self.before_end(deadline), self.closing.begun());
+            let (limit, closing) = (self.shutdown_deadline(deadline), self.closing.begun());
             let (stream, buf) = (&self.stream, &mut self.buf);
             let read = async { Some(until(limit, read_some(&mut &*stream, buf)).await) };
             match if closing { read.await } else { or_closing(&self.closing, read).await } {
@@ -117,7 +117,7 @@
                 None => {}
                 Some(Timed::Done(Ok(0) | Err(_))) => return Err(End::Close),
                 Some(Timed::Done(Ok(_))) => {}
-                Some(Timed::Late) => return Err(self.late()),
+                Some(Timed::Late) => return Err(self.timeout_rejection()),
             }
         }
     }
