Count finished requests with an attempt out only under plans with a limit

Change: requests that are finished and have an attempt in flight are a count of their own, kept only under a plan that limits the requests in flight; without such a plan every decision is as it was on. Measured: attempts_of_clients_that_left_count_as_in_flight and all tests of the decision library pass.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -155,18 +155,17 @@
         self.close(id);
     }
 
-    /// Finishes a request. While an attempt is in flight, the request's state is kept and it counts as in
-    /// flight for its customer: a client that leaves ends no attempt.
+    /// Finishes a request; its state is kept while an attempt is in flight.
     pub(crate) fn close(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.finished = true;
-        if request.has_attempt_in_flight() {
-            return;
-        }
+        let was_finished = std::mem::replace(&mut request.finished, true);
+        let has_attempt_in_flight = request.has_attempt_in_flight();
         if let Some(customer) = self.customers.get_mut(request.customer) {
-            customer.in_flight = customer.in_flight.saturating_sub(1);
+            customer.record_finished(was_finished, has_attempt_in_flight);
+        }
+        if !has_attempt_in_flight {
+            self.requests.remove(&id);
         }
-        self.requests.remove(&id);
     }
 
     /// Handles the end of an attempt, and retries or answers the request unless the request is finished.
--- a/src/customer.rs
+++ b/src/customer.rs
@@ -15,12 +15,35 @@
     pub subset_start: usize,
     /// Number of the customer's requests at this gateway that are held or in flight.
     pub in_flight: u32,
+    /// Number of the customer's finished requests with an attempt in flight, such as those whose clients have
+    /// left; counted only if the plan limits the requests in flight.
+    finished_in_flight: u32,
     pub quota: Quota,
     pub pacer: Pacer,
     pub peer_usage: PeerUsage,
     pub count: CustomerCount,
 }
 
+impl Customer {
+    /// Number of the customer's requests that count against the limit of its plan.
+    pub fn counted_in_flight(&self) -> u32 {
+        self.in_flight + self.finished_in_flight
+    }
+
+    /// Records that a request is finished, or, if it was before, that one of its attempts ended.
+    pub fn record_finished(&mut self, was_finished: bool, has_attempt_in_flight: bool) {
+        if !was_finished {
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
+        let is_limited = self.quota.plan.max_in_flight > 0;
+        match (was_finished, has_attempt_in_flight) {
+            (false, true) if is_limited => self.finished_in_flight += 1,
+            (true, false) => self.finished_in_flight = self.finished_in_flight.saturating_sub(1),
+            _ => {}
+        }
+    }
+}
+
 /// All customers with recent requests at this gateway or recent updates from peers.
 pub(crate) struct Customers {
     /// When this process started, µs.
@@ -64,6 +87,7 @@
             plan,
             subset_start,
             in_flight: 0,
+            finished_in_flight: 0,
             quota: Quota::new(plan_settings.clone(), subset_size, now, now - self.started_at),
             pacer: Pacer::new(now),
             peer_usage: PeerUsage::default(),
@@ -75,7 +99,9 @@
     /// Drops customers without requests or counter calls in flight whose buckets are full again by now.
     pub fn expire(&mut self, now: Micros) {
         self.by_id.retain(|_, customer| {
-            customer.in_flight > 0 || customer.count.call_in_flight() || now < customer.quota.expires_at()
+            customer.counted_in_flight() > 0
+                || customer.count.call_in_flight()
+                || now < customer.quota.expires_at()
         });
     }
 }
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -75,7 +75,9 @@
         customer.pacer.record_arrival(units);
         quota.record_arrival(now, units);
         customer.in_flight += 1;
-        let is_covered = quota.covers(now, units, source, customer.in_flight);
+        let in_flight = customer.counted_in_flight();
+        let quota = &mut customer.quota;
+        let is_covered = quota.covers(now, units, source, in_flight);
         let should_call_counter =
             self.shared_counter.is_enabled() && source != UsageSource::Exact && quota.bucket_has(units);
         let reserved_units = if quota.demand(now) > 1.0 { 0.0 } else { units };
@@ -109,10 +111,11 @@
             return;
         };
         let Some(customer) = self.customers.get_mut(customer) else { return };
+        let in_flight = customer.counted_in_flight();
         let quota = &mut customer.quota;
         quota.refill(now, units, source);
         quota.earn_credit(now, units, source);
-        let within_quota = quota.covers(now, units, source, customer.in_flight);
+        let within_quota = quota.covers(now, units, source, in_flight);
         let is_worth_it = quota.plan.over_quota_weight_share > quota.plan.over_quota_cost_share;
         let may_exceed_quota = is_worth_it && self.admission.has_spare_capacity();
         if !within_quota && !may_exceed_quota {
